--- a/src/bin/gorseford-drill.rs
+++ b/src/bin/swiftlb-benchlink.rs
@@ -8,15 +8,15 @@
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
-use gorseford::Controller;
-use gorseford::interface::Action;
-use gorseford::wire::{Banks, Header, Message, Reply, read_batch};
+use swiftlb::Controller;
+use swiftlb::interface::Action;
+use swiftlb::wire::{Banks, Header, Message, Reply, read_batch};
 
 fn main() -> ExitCode {
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("gorseford-drill: {error}");
+            eprintln!("swiftlb-benchlink: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,4 +1,4 @@
-//! Every decision of gorseford. The types that come in and go out are in `interface.rs`.
+//! Every decision of swiftlb. The types that come in and go out are in `interface.rs`.
 //!
 //! Reads top to bottom: constants, state, events, admission, route choice, the one place that sends, what is
 //! learned of other exchanges, upkeep. Time comes from events alone, randomness from the seed alone.
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -6,8 +6,8 @@
 use std::process::{Command, Stdio};
 
 use common::settings_text;
-use gorseford::interface::{Action, Event, ExchangeId, ListKind, Outcome, Readiness, Reason};
-use gorseford::wire::{Banks, Header, Message, Reply, WireError, read_batch, read_settings};
+use swiftlb::interface::{Action, Event, ExchangeId, ListKind, Outcome, Readiness, Reason};
+use swiftlb::wire::{Banks, Header, Message, Reply, WireError, read_batch, read_settings};
 
 struct Batch {
     records: Vec<u8>,
@@ -315,7 +315,7 @@
 }
 
 fn drill(input: &[u8]) -> (Option<i32>, Vec<u8>, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gorseford-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_swiftlb-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -374,7 +374,7 @@
         let (code, out, error) = drill(&[good.clone(), bad].concat());
         assert_eq!(code, Some(1));
         assert_eq!(out, vec![0; 8], "the good batch is answered, the bad one is not");
-        assert!(error.starts_with("gorseford-drill: ") && !error.contains("panicked"), "{error}");
+        assert!(error.starts_with("swiftlb-benchlink: ") && !error.contains("panicked"), "{error}");
     }
     let text = settings_text().replace("policyLimits.tryLimit=5", "policyLimits.tryLimit=0");
     let length = (text.len() as u32).to_le_bytes();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Shared by the tests: settings of an invented deployment.
 #![allow(dead_code)]
 
-use gorseford::interface::Settings;
-use gorseford::wire::read_settings;
+use swiftlb::interface::Settings;
+use swiftlb::wire::read_settings;
 
 /// Settings as the wire words them.
 pub fn settings_text() -> String {
@@ -32,8 +32,8 @@
     read_settings(&settings_text()).expect("the settings are well formed")
 }
 
-use gorseford::Controller;
-use gorseford::interface::{
+use swiftlb::Controller;
+use swiftlb::interface::{
     Action, CallId, Event, ExchangeId, ListKind, Listed, NewCall, Number, Outcome, Readiness, Reason,
 };
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Host, ROUNDS};
-use gorseford::interface::{Action, Event, ExchangeId, ListKind, Listed, Outcome, Readiness, Reason};
+use swiftlb::interface::{Action, Event, ExchangeId, ListKind, Listed, Outcome, Readiness, Reason};
 
 /// Timer tag of the upkeep round, as the first event starts it.
 const UPKEEP: u64 = 1 << 32;
@@ -447,7 +447,7 @@
         .replace("specifics.classCells=", "specifics.classCells.0=1,2");
     for seed in 0..ROUNDS {
         let mut host = Host::mesh(4, seed);
-        host.restart(gorseford::wire::read_settings(&text).unwrap(), seed);
+        host.restart(swiftlb::wire::read_settings(&text).unwrap(), seed);
         (0..4).for_each(|n| host.free(n, 9.0, 9.0));
         assert_eq!(host.call(1, 0, 1).sent_to(), Some(1));
         host.free(1, 0.0, 9.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{Host, START, number, place, settings};
-use gorseford::Controller;
-use gorseford::interface::*;
+use swiftlb::Controller;
+use swiftlb::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
