Serve on real sockets: reducer, JSON lines and resolver round the module

Built: engine (all state, virtual time), net (JSON lines, DNS, one loop), config straight into Settings.

--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,654 @@
+//! The reducer: every call, attempt, timer and peer of a softswitch, and no wire, socket or clock.
+//!
+//! [`Engine::handle`] is the only way in. It takes the time and one [`Input`], lets the decision module decide
+//! and adds [`Effect`]s. It trusts neither side with the rules: whatever comes, a call gets one final outcome
+//! in its time, has one attempt out at most, keeps the release pause, and nothing new goes to an exchange that
+//! drains.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::Controller;
+use crate::config::Config;
+use crate::decide::SettingsError;
+use crate::interface::{
+    Action, CallId, Event, ExchangeId, ListKind, Listed, NewCall, Number, Outcome, Readiness, Reason,
+};
+
+mod peers;
+mod words;
+
+use peers::{Peer, Way};
+pub use words::{CallName, CallerWord, ConnId, Effect, Entry, Front, Input, LinkId, PeerWord, SetUp};
+
+/// A final answer that the module has not given this long after the caller's time is given for it: well
+/// inside the 50 ms that the rules allow on sockets.
+const OVERDUE: Duration = Duration::from_millis(15);
+/// Time between two tries to reach an exchange that is down, so that news of its group comes soon after.
+const REDIAL: Duration = Duration::from_millis(250);
+/// An exchange that the list no longer has may still say how its calls ended for this long.
+const LAST_WORDS: Duration = Duration::from_millis(700);
+/// A release that finds no way to callers is kept for this long: past it nobody waits for it.
+const KEEP_RELEASE: Duration = Duration::from_secs(10);
+/// After the order to stop, set-ups arrive for 0.4 s on new connections and 0.2 s more on open ones.
+const DRAIN: Duration = Duration::from_millis(700);
+/// An exchange that is gone is forgotten after this long.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// Milliseconds of a span, as the module counts them.
+pub fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
+
+/// A span of the module's milliseconds; whatever is no time at all counts as zero.
+pub fn span(ms: f64) -> Duration {
+    if ms.is_finite() && ms > 0.0 { Duration::from_secs_f64((ms / 1_000.0).min(1e9)) } else { Duration::ZERO }
+}
+
+/// The module's clock: milliseconds since 1970.
+fn clock(at: SystemTime) -> f64 {
+    millis(since(UNIX_EPOCH, at))
+}
+
+/// Time from one moment to a later one; zero if the clock was set back between them.
+fn since(from: SystemTime, to: SystemTime) -> Duration {
+    to.duration_since(from).unwrap_or_default()
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// Of the module.
+    Module(u64),
+    /// The time-out of this attempt of a call.
+    Attempt(CallId, u32),
+    /// The caller's time is over.
+    Overdue(CallId),
+    /// An exchange may be dialled again.
+    Redial(ExchangeId),
+    /// The last words of an exchange that is gone.
+    Bury(ExchangeId),
+    /// The drain may be over.
+    Drained,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Taken, nothing out.
+    Open,
+    /// One attempt out.
+    Out { to: ExchangeId, sent: SystemTime, reached: bool },
+    /// It stands.
+    Standing { at: ExchangeId },
+}
+
+#[derive(Debug)]
+struct Call {
+    name: CallName,
+    link: LinkId,
+    front: Front,
+    class: String,
+    key: Option<String>,
+    description: Option<Arc<str>>,
+    deadline: SystemTime,
+    phase: Phase,
+    attempts: u32,
+    /// Until when what the last attempt took may not be free (release pause).
+    paused_until: Option<SystemTime>,
+    /// Whether the last attempt found the number busy.
+    busy: bool,
+}
+
+struct Held {
+    until: SystemTime,
+    front: Front,
+    call: CallName,
+    word: CallerWord,
+}
+
+/// All state of a softswitch.
+pub struct Engine {
+    module: Controller,
+    now: SystemTime,
+    classes: Vec<(String, f64, Duration)>,
+    home: Option<Number>,
+    try_limit: u32,
+    release_pause: Duration,
+    drain_grace: Duration,
+    calls: HashMap<CallId, Call>,
+    by_name: HashMap<CallName, CallId>,
+    last_call: CallId,
+    peers: BTreeMap<ExchangeId, Peer>,
+    by_peer_name: HashMap<Arc<str>, ExchangeId>,
+    conns: HashMap<ConnId, ExchangeId>,
+    last_conn: ConnId,
+    last_peer: u32,
+    links: BTreeMap<LinkId, Front>,
+    held: VecDeque<Held>,
+    tests: u64,
+    timers: BinaryHeap<Reverse<(SystemTime, u64, Timer)>>,
+    timer_count: u64,
+    events: VecDeque<Event>,
+    draining_since: Option<SystemTime>,
+}
+
+impl Engine {
+    /// A softswitch that has just started, and what it asks for first.
+    ///
+    /// # Errors
+    /// If the module can make no decisions with these settings.
+    pub fn new(config: &Config, now: SystemTime, effects: &mut Vec<Effect>) -> Result<Self, SettingsError> {
+        let set = &config.settings;
+        let classes = config.classes.iter().zip(&set.classes);
+        let mut engine = Self {
+            module: Controller::new(set.clone(), config.seed)?,
+            now,
+            classes: classes.map(|((name, most), class)| (name.clone(), class.width, *most)).collect(),
+            home: set.home,
+            try_limit: set.try_limit,
+            release_pause: span(set.release_ms),
+            drain_grace: span(set.drain_grace_ms),
+            calls: HashMap::new(),
+            by_name: HashMap::new(),
+            last_call: 0,
+            peers: BTreeMap::new(),
+            by_peer_name: HashMap::new(),
+            conns: HashMap::new(),
+            last_conn: 0,
+            last_peer: 0,
+            links: BTreeMap::new(),
+            held: VecDeque::new(),
+            tests: 0,
+            timers: BinaryHeap::new(),
+            timer_count: 0,
+            events: VecDeque::new(),
+            draining_since: None,
+        };
+        engine.learn_list(config.known.clone(), ListKind::Cached, effects);
+        engine.run_module(effects);
+        Ok(engine)
+    }
+
+    /// When it wants to be woken if nothing happens before.
+    pub fn next_wake(&self) -> Option<SystemTime> {
+        self.timers.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Calls that stand or wait, for the log.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Takes one input at this time and adds what follows from it. Timers that are due ring first.
+    pub fn handle(&mut self, now: SystemTime, input: Input, effects: &mut Vec<Effect>) {
+        // The system's clock may be set back; time here never runs backwards.
+        self.now = self.now.max(now);
+        while let Some(Reverse((at, _, timer))) = self.timers.peek().copied()
+            && at <= self.now
+        {
+            self.timers.pop();
+            self.ring(timer, effects);
+            self.run_module(effects);
+        }
+        self.take(input, effects);
+        self.run_module(effects);
+    }
+
+    fn take(&mut self, input: Input, effects: &mut Vec<Effect>) {
+        match input {
+            Input::Wake => {}
+            Input::LinkUp { link, front } => {
+                self.links.insert(link, front);
+                self.send_held(effects);
+            }
+            Input::LinkDown { link } => self.lose_link(link, effects),
+            Input::SetUp { link, call, setup } => self.take_call(link, call, setup, effects),
+            Input::Malformed { link, call } => {
+                // A call that is held keeps its one answer, whatever else comes under its id.
+                if !self.by_name.contains_key(&call) {
+                    effects.push(Effect::ToCaller { link, call, word: CallerWord::Failed { busy: false } });
+                }
+            }
+            Input::HangUp { call, cause } => self.hang_up(call, cause, effects),
+            Input::Check { link, call } => {
+                let passed = self.draining_since.is_none();
+                effects.push(Effect::ToCaller { link, call, word: CallerWord::Checked { passed } });
+            }
+            Input::List(entries) => self.learn_list(entries, ListKind::Full, effects),
+            Input::Connected { conn } => self.connected(conn, effects),
+            Input::ConnectFailed { conn, refused } => self.connect_failed(conn, refused, effects),
+            Input::ConnectionLost { conn, reset } => self.connection_lost(conn, reset, effects),
+            Input::Answered { conn, call, description } => self.answered(conn, call, description, effects),
+            Input::Ended { conn, call, outcome, reason } => {
+                self.ended(conn, call, outcome, reason, effects);
+            }
+            Input::GroupState { conn, report } => self.probed(conn, true, Some(report)),
+            Input::Tested { conn, passed, report } => self.probed(conn, passed, report),
+            Input::Drain => {
+                self.draining_since.get_or_insert(self.now);
+                self.set_timer(DRAIN, Timer::Drained);
+            }
+        }
+    }
+
+    fn set_timer(&mut self, delay: Duration, timer: Timer) {
+        self.timer_count += 1;
+        self.timers.push(Reverse((self.now + delay, self.timer_count, timer)));
+    }
+
+    fn ring(&mut self, timer: Timer, effects: &mut Vec<Effect>) {
+        match timer {
+            Timer::Module(tag) => self.events.push_back(Event::Timer { tag }),
+            Timer::Attempt(id, attempt) => self.time_out(id, attempt, effects),
+            Timer::Overdue(id) => {
+                // Guards rule 1 against the module: its answer is overdue.
+                if let Some(call) = self.calls.get(&id)
+                    && !matches!(call.phase, Phase::Standing { .. })
+                {
+                    effects.push(Effect::Trace(format!("{:?} overdue, failed for the module", call.name)));
+                    self.abandon(id, effects);
+                    self.conclude(id, CallerWord::Failed { busy: false }, effects);
+                }
+            }
+            Timer::Redial(peer) => self.redial(peer, effects),
+            Timer::Bury(peer) => self.bury(peer, effects),
+            Timer::Drained => self.try_exit(effects),
+        }
+    }
+
+    fn try_exit(&mut self, effects: &mut Vec<Effect>) {
+        let Some(start) = self.draining_since else { return };
+        let waiting = self.calls.values().any(|c| !matches!(c.phase, Phase::Standing { .. }));
+        if !waiting && since(start, self.now) >= DRAIN {
+            effects.push(Effect::Exit);
+        }
+    }
+
+    // ---- the module ----
+
+    fn run_module(&mut self, effects: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.module.handle(clock(self.now), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, effects);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action, effects: &mut Vec<Effect>) {
+        match action {
+            Action::Send { call, exchange, timeout_ms } => {
+                self.attempt(call, exchange, span(timeout_ms), effects);
+            }
+            Action::Refuse { call, retry_after_ms } => {
+                self.conclude(call, CallerWord::Refused { wait: span(retry_after_ms) }, effects);
+            }
+            Action::Fail { call } => {
+                let busy = self.calls.get(&call).is_some_and(|held| held.busy);
+                self.conclude(call, CallerWord::Failed { busy }, effects);
+            }
+            Action::Cancel { call, attempt } => {
+                if self.calls.get(&call).is_some_and(|held| held.attempts == attempt + 1) {
+                    self.cancel(call, effects);
+                }
+            }
+            Action::Timer { delay_ms, tag } => self.set_timer(span(delay_ms), Timer::Module(tag)),
+            Action::Probe { exchange } => {
+                if let Some(Way::Up(conn)) = self.peers.get(&exchange).map(|peer| peer.way) {
+                    self.tests += 1;
+                    let call = CallName::from_u64(self.tests);
+                    effects.push(Effect::ToExchange { conn, call, word: PeerWord::Test });
+                }
+            }
+            Action::Trace { text } => effects.push(Effect::Trace(text)),
+            // Softswitches have no way to talk to each other here, and the list comes unasked.
+            Action::Tell { .. } | Action::Subscribe | Action::FetchList => {}
+        }
+    }
+
+    // ---- calls ----
+
+    fn take_call(&mut self, link: LinkId, name: CallName, setup: SetUp, effects: &mut Vec<Effect>) {
+        if self.by_name.contains_key(&name) {
+            effects.push(Effect::Trace(format!("{name:?} came twice, passed over")));
+            return;
+        }
+        let fail = Effect::ToCaller { link, call: name, word: CallerWord::Failed { busy: false } };
+        let class = self.classes.iter().position(|(class, ..)| *class == setup.class);
+        let (Some(class), Some(front)) = (class, self.links.get(&link).copied()) else {
+            effects.push(fail);
+            return;
+        };
+        let (_, width, most) = &self.classes[class];
+        // The clock of the caller runs from the last byte of the set-up, not from when its turn came here.
+        let deadline = setup.received + setup.left.unwrap_or(*most);
+        self.last_call = self.last_call.wrapping_add(1);
+        let id = self.last_call;
+        self.events.push_back(Event::Call(NewCall {
+            call: id,
+            class,
+            tenant: 0,
+            width: setup.width.unwrap_or(*width),
+            dest: setup.dest,
+            called: setup.key.as_deref().map_or(0, key_number),
+            left_ms: millis(since(self.now, deadline)),
+            transit_from: setup.transit_from,
+            advised: setup.advised,
+            redial: false,
+            was_cut: setup.was_cut,
+        }));
+        self.set_timer(since(self.now, deadline) + OVERDUE, Timer::Overdue(id));
+        self.by_name.insert(name, id);
+        self.calls.insert(
+            id,
+            Call {
+                name,
+                link,
+                front,
+                class: setup.class,
+                key: setup.key,
+                description: setup.description,
+                deadline,
+                phase: Phase::Open,
+                attempts: 0,
+                paused_until: None,
+                busy: false,
+            },
+        );
+    }
+
+    /// The one place where a call is given back: its final answer, if one is owed, and all that it held.
+    fn conclude(&mut self, id: CallId, word: CallerWord, effects: &mut Vec<Effect>) {
+        // Rule 1: a call that stands has had its answer; all that may follow is its release.
+        let released = matches!(word, CallerWord::Released { .. });
+        let stands = |call: &Call| matches!(call.phase, Phase::Standing { .. });
+        if !released && self.calls.get(&id).is_some_and(stands) {
+            return;
+        }
+        let Some(call) = self.forget(id, effects) else { return };
+        if self.links.contains_key(&call.link) {
+            effects.push(Effect::ToCaller { link: call.link, call: call.name, word });
+        } else if released {
+            let until = self.now + KEEP_RELEASE;
+            self.held.push_back(Held { until, front: call.front, call: call.name, word });
+            self.send_held(effects);
+        }
+        self.try_exit(effects);
+    }
+
+    /// Takes a call off the books. An attempt of its still out is called off: a call that is over has none.
+    fn forget(&mut self, id: CallId, effects: &mut Vec<Effect>) -> Option<Call> {
+        self.abandon(id, effects);
+        let call = self.calls.remove(&id)?;
+        self.by_name.remove(&call.name);
+        // The module may still hold it (overdue, link lost); it passes over an id it has ended itself.
+        self.events.push_back(Event::Left { call: id });
+        Some(call)
+    }
+
+    /// Sends what waits for a way to callers.
+    fn send_held(&mut self, effects: &mut Vec<Effect>) {
+        let (links, now) = (&self.links, self.now);
+        self.held.retain(|held| {
+            let way = links.iter().find(|(_, front)| **front == held.front);
+            if let Some((link, _)) = way {
+                effects.push(Effect::ToCaller { link: *link, call: held.call, word: held.word.clone() });
+            }
+            way.is_none() && held.until > now
+        });
+    }
+
+    /// A connection from callers is closed. Set-ups open on it are lost, so they are given up; a standing
+    /// call belongs to no connection and stays.
+    fn lose_link(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
+        self.links.remove(&link);
+        let open = |call: &Call| call.link == link && !matches!(call.phase, Phase::Standing { .. });
+        let mut lost: Vec<CallId> =
+            self.calls.iter().filter(|(_, call)| open(call)).map(|(id, _)| *id).collect();
+        lost.sort_unstable();
+        for id in lost {
+            self.leave(id, effects);
+        }
+    }
+
+    fn hang_up(&mut self, name: CallName, cause: u8, effects: &mut Vec<Effect>) {
+        let Some(id) = self.by_name.get(&name).copied() else { return };
+        match self.calls[&id].phase {
+            Phase::Standing { at } => {
+                self.release_far(id, at, cause, effects);
+                self.module_outcome(id, at, Outcome::Cancelled, Reason::None, true);
+                self.forget(id, effects);
+            }
+            _ => self.leave(id, effects),
+        }
+    }
+
+    /// The caller no longer waits: no answer is owed, and whatever is out is called off.
+    fn leave(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        if let Some(Phase::Out { to, .. }) = self.calls.get(&id).map(|call| call.phase) {
+            self.abandon(id, effects);
+            self.module_outcome(id, to, Outcome::Cancelled, Reason::None, true);
+        }
+        self.forget(id, effects);
+        self.try_exit(effects);
+    }
+
+    // ---- attempts ----
+
+    /// Starts an attempt, if the rules allow it; else the module hears at once that nothing was sent.
+    fn attempt(&mut self, id: CallId, to: ExchangeId, timeout: Duration, effects: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let already_out = !matches!(call.phase, Phase::Open);
+        if already_out {
+            // Rule 2: never two attempts at once. The module's record of the first stays true.
+            effects.push(Effect::Trace(format!("{:?} has an attempt out, second one not sent", call.name)));
+            return;
+        }
+        call.attempts += 1;
+        let paused = call.paused_until.is_some_and(|until| self.now < until);
+        let told_off = self.peers.get(&to).is_none_or(|p| match p.readiness {
+            Readiness::Ready => false,
+            _ => since(p.told_at, self.now) >= self.drain_grace.mul_f64(0.9),
+        });
+        let own = self.peers.get(&to).is_some_and(|p| Some(p.number) == self.home);
+        if paused || told_off || own || call.attempts > self.try_limit || self.now >= call.deadline {
+            let name = call.name;
+            effects.push(Effect::Trace(format!(
+                "{name:?} not sent: pause {paused} told off {told_off} own {own}"
+            )));
+            self.module_outcome(id, to, Outcome::Moot, Reason::None, false);
+            return;
+        }
+        let left = since(self.now, call.deadline);
+        let cap = if timeout.is_zero() { left } else { timeout.min(left) };
+        let attempt = call.attempts;
+        call.phase = Phase::Out { to, sent: self.now, reached: false };
+        self.set_timer(cap, Timer::Attempt(id, attempt));
+        match self.peers.get(&to).map(|peer| peer.way) {
+            Some(Way::Up(_)) => self.transmit(id, effects),
+            Some(Way::Down) => self.dial(to, effects),
+            _ => {}
+        }
+    }
+
+    /// Puts the set-up of a call on the way to its exchange.
+    fn transmit(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Phase::Out { to, reached, .. } = &mut call.phase else { return };
+        let Some(Way::Up(conn)) = self.peers.get(to).map(|peer| peer.way) else { return };
+        *reached = true;
+        let word = PeerWord::SetUp {
+            class: call.class.clone(),
+            key: call.key.clone(),
+            left: since(now, call.deadline),
+            description: call.description.clone(),
+        };
+        effects.push(Effect::ToExchange { conn, call: call.name, word });
+    }
+
+    /// Calls off the attempt of a call that is out, toward the exchange only.
+    fn abandon(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        if let Phase::Out { to, reached: true, .. } = call.phase
+            && let Some(Way::Up(conn)) = self.peers.get(&to).map(|peer| peer.way)
+        {
+            effects.push(Effect::ToExchange { conn, call: call.name, word: PeerWord::GiveUp });
+        }
+        if let Some(call) = self.calls.get_mut(&id)
+            && matches!(call.phase, Phase::Out { .. })
+        {
+            call.phase = Phase::Open;
+        }
+    }
+
+    fn cancel(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        if let Some(Phase::Out { to, sent, .. }) = self.calls.get(&id).map(|call| call.phase) {
+            self.abandon(id, effects);
+            self.close_attempt(id, to, sent, Outcome::Cancelled, Reason::None);
+        }
+    }
+
+    fn time_out(&mut self, id: CallId, attempt: u32, effects: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(&id).filter(|call| call.attempts == attempt) else { return };
+        let Phase::Out { to, sent, reached } = call.phase else { return };
+        self.abandon(id, effects);
+        // One that waited for a connection all along has proved that nothing ran.
+        let outcome = if reached { Outcome::TimedOut } else { Outcome::NoConnection };
+        self.close_attempt(id, to, sent, outcome, Reason::None);
+    }
+
+    /// The attempt that is out has ended without setting the call up.
+    fn attempt_over(&mut self, id: CallId, outcome: Outcome, reason: Reason) {
+        let Some(Phase::Out { to, sent, .. }) = self.calls.get(&id).map(|call| call.phase) else { return };
+        self.close_attempt(id, to, sent, outcome, reason);
+    }
+
+    fn close_attempt(
+        &mut self,
+        id: CallId,
+        to: ExchangeId,
+        sent: SystemTime,
+        outcome: Outcome,
+        reason: Reason,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.phase = Phase::Open;
+        call.busy = reason == Reason::LinesBusy;
+        // Rule 5: what such an attempt took may stay taken for a while.
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            call.paused_until = Some(self.now + self.release_pause);
+        }
+        let (attempt, took_ms) = (call.attempts - 1, millis(since(sent, self.now)));
+        self.events.push_back(Event::Outcome {
+            call: id,
+            attempt,
+            exchange: to,
+            outcome,
+            reason,
+            took_ms,
+            closed: false,
+            report: None,
+        });
+    }
+
+    /// Tells the module of an outcome that is not the end of an attempt on its way.
+    fn module_outcome(&mut self, id: CallId, at: ExchangeId, outcome: Outcome, reason: Reason, closed: bool) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let attempt = call.attempts.saturating_sub(1);
+        let event = Event::Outcome {
+            call: id,
+            attempt,
+            exchange: at,
+            outcome,
+            reason,
+            took_ms: 0.0,
+            closed,
+            report: None,
+        };
+        self.events.push_back(event);
+    }
+
+    /// The call of this name, if it has to do with the exchange at the other end of this way. What an
+    /// exchange says of a call that has moved on from it is stale.
+    fn call_at(&self, conn: ConnId, name: CallName) -> Option<(CallId, ExchangeId)> {
+        let (id, peer) = (*self.by_name.get(&name)?, *self.conns.get(&conn)?);
+        let there = match self.calls.get(&id)?.phase {
+            Phase::Out { to, reached, .. } => reached && to == peer,
+            Phase::Standing { at } => at == peer,
+            Phase::Open => false,
+        };
+        there.then_some((id, peer))
+    }
+
+    fn answered(
+        &mut self,
+        conn: ConnId,
+        name: CallName,
+        description: Option<Arc<str>>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some((id, peer)) = self.call_at(conn, name) else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Phase::Out { sent, .. } = call.phase else { return };
+        call.phase = Phase::Standing { at: peer };
+        let (attempt, took_ms) = (call.attempts - 1, millis(since(sent, self.now)));
+        let (link, call) = (call.link, call.name);
+        effects.push(Effect::ToCaller { link, call, word: CallerWord::Answer { description } });
+        self.events.push_back(Event::Stands { call: id, attempt, exchange: peer, took_ms });
+        self.try_exit(effects);
+    }
+
+    fn ended(
+        &mut self,
+        conn: ConnId,
+        name: CallName,
+        outcome: Outcome,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some((id, peer)) = self.call_at(conn, name) else { return };
+        match self.calls[&id].phase {
+            Phase::Standing { .. } => self.end_standing(id, peer, outcome, effects),
+            // A normal end before any answer is no end that an exchange may give: the set-up has failed.
+            _ if outcome == Outcome::Ended => self.attempt_over(id, Outcome::Busy, Reason::None),
+            _ => self.attempt_over(id, outcome, reason),
+        }
+    }
+
+    /// A call that stood is over on the far side: its caller is told, whichever way is open.
+    fn end_standing(&mut self, id: CallId, at: ExchangeId, outcome: Outcome, effects: &mut Vec<Effect>) {
+        let outcome = if outcome == Outcome::Ended { Outcome::Ended } else { Outcome::Reset };
+        self.module_outcome(id, at, outcome, Reason::None, true);
+        self.conclude(id, CallerWord::Released { cut: outcome == Outcome::Reset }, effects);
+    }
+
+    fn release_far(&mut self, id: CallId, at: ExchangeId, cause: u8, effects: &mut Vec<Effect>) {
+        let call = self.calls[&id].name;
+        match self.peers.get(&at).map(|peer| peer.way) {
+            Some(Way::Up(conn)) => {
+                effects.push(Effect::ToExchange { conn, call, word: PeerWord::Release { cause } });
+            }
+            Some(way) => {
+                if let Some(peer) = self.peers.get_mut(&at) {
+                    peer.releases.push((call, cause));
+                }
+                if way == Way::Down {
+                    self.dial(at, effects);
+                }
+            }
+            None => {}
+        }
+    }
+}
+
+/// The number called, as the module knows it: hexadecimal as the platform writes it, else a hash of the text
+/// (FNV-1a), never 0, which would mean that none was called.
+fn key_number(key: &str) -> u64 {
+    let hash = || {
+        key.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    };
+    u64::from_str_radix(key, 16).unwrap_or_else(|_| hash()).max(1)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,11 @@
-//! Decisions of a call control for a mesh of switches.
+//! A softswitch for a mesh of exchanges: the decisions, the engine that keeps the rules, and two fronts.
 #![doc = include_str!("../README.md")]
 
+pub mod config;
 pub mod decide;
+pub mod engine;
 pub mod interface;
+pub mod net;
 pub mod wire;
 
 pub use decide::Controller;
--- /dev/null
+++ b/src/net/dns.rs
@@ -0,0 +1,147 @@
+//! The resolver's client: asks for the whole list of exchanges over and over and tells what is new.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use simple_dns::rdata::RData;
+use simple_dns::{CLASS, Name, Packet, PacketFlag, QCLASS, QTYPE, Question, TYPE};
+use thiserror::Error;
+
+use crate::config::zone_index;
+use crate::engine::{Entry, span};
+use crate::interface::Readiness;
+
+/// The name whose SRV records list the exchanges.
+const SERVICE: &str = "_api._tcp.svc.local";
+/// Largest answer.
+const LARGEST: usize = 8_192;
+/// Time between two queries: an event counts as told with its first answer and after 1.5 s at the latest, so
+/// each must be seen long before that, lost datagrams included.
+const EVERY: Duration = Duration::from_millis(100);
+
+/// What is wrong with an answer.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    /// It cannot be parsed.
+    #[error("answer cannot be read: {0}")]
+    Malformed(#[from] simple_dns::SimpleDnsError),
+    /// It is not the answer to this query.
+    #[error("answer to another query")]
+    Stray,
+    /// The resolver says that it failed, or cut the answer short.
+    #[error("the resolver failed")]
+    Failed,
+    /// No SOA record says which event is the last.
+    #[error("answer without a serial")]
+    NoSerial,
+}
+
+/// A query for the list.
+///
+/// # Errors
+/// Never for the name it asks for; the error is the message writer's.
+pub fn query(id: u16) -> Result<Vec<u8>, simple_dns::SimpleDnsError> {
+    let mut packet = Packet::new_query(id);
+    packet.set_flags(PacketFlag::RECURSION_DESIRED);
+    let name = Name::new(SERVICE)?;
+    packet.questions.push(Question::new(name, QTYPE::TYPE(TYPE::SRV), QCLASS::CLASS(CLASS::IN), false));
+    packet.build_bytes_vec()
+}
+
+/// Reads an answer: the number of the last event and the list after it. An exchange whose records are not
+/// whole is not listed.
+///
+/// # Errors
+/// If it cannot be read, answers another query, or holds no serial.
+pub fn read_answer(id: u16, bytes: &[u8], zones: &[String]) -> Result<(u32, Vec<Entry>), AnswerError> {
+    let packet = Packet::parse(bytes)?;
+    if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) {
+        return Err(AnswerError::Stray);
+    }
+    if packet.rcode() != simple_dns::RCODE::NoError || packet.has_flags(PacketFlag::TRUNCATION) {
+        return Err(AnswerError::Failed);
+    }
+    let serial = packet.name_servers.iter().find_map(|record| match &record.rdata {
+        RData::SOA(soa) => Some(soa.serial),
+        _ => None,
+    });
+    let serial = serial.ok_or(AnswerError::NoSerial)?;
+    let records = || packet.additional_records.iter().chain(&packet.answers);
+    let entry = |target: &Name<'_>, port: u16, priority: u16| {
+        let address = records().find_map(|record| match &record.rdata {
+            RData::A(a) if record.name == *target => Some(std::net::Ipv4Addr::from(a.address)),
+            _ => None,
+        })?;
+        let texts = records().find_map(|record| match &record.rdata {
+            RData::TXT(text) if record.name == *target => Some(text.attributes()),
+            _ => None,
+        })?;
+        let value = |key: &str| texts.get(key)?.as_deref()?.parse::<f64>().ok().filter(|n| *n >= 0.0);
+        let labels = target.get_labels();
+        let label = |i: usize| labels.get(i).map(|l| l.to_string());
+        let started = value("started")?;
+        Some(Entry {
+            name: label(0)?.into(),
+            address: SocketAddr::new(address.into(), port),
+            number: value("cell")? as u32,
+            zone: zone_index(zones, &label(1)?),
+            born: (started > 0.0).then(|| UNIX_EPOCH + span(started)),
+            readiness: if priority == 0 { Readiness::Ready } else { Readiness::Draining },
+        })
+    };
+    let entries = packet.answers.iter().filter_map(|record| match &record.rdata {
+        RData::SRV(srv) => entry(&srv.target, srv.port, srv.priority),
+        _ => None,
+    });
+    Ok((serial, entries.collect()))
+}
+
+/// Asks for ever, and hands on each list with a new serial. Ends when `news` says so.
+///
+/// # Errors
+/// If no socket can be had.
+pub fn follow(
+    resolver: SocketAddr,
+    mut serial: u32,
+    zones: &[String],
+    mut news: impl FnMut(Vec<Entry>) -> bool,
+) -> std::io::Result<()> {
+    let local: SocketAddr = if resolver.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let socket = UdpSocket::bind(local)?;
+    socket.connect(resolver)?;
+    let mut buffer = vec![0; LARGEST];
+    let mut id = std::process::id() as u16;
+    loop {
+        id = id.wrapping_add(1);
+        let asked = SystemTime::now();
+        if let Ok(query) = query(id) {
+            // A query that is refused or lost is repeated at the next turn.
+            let _ = socket.send(&query);
+        }
+        loop {
+            let left = EVERY.saturating_sub(asked.elapsed().unwrap_or(EVERY));
+            if left.is_zero() {
+                break;
+            }
+            socket.set_read_timeout(Some(left))?;
+            let length = match socket.recv(&mut buffer) {
+                Ok(length) => length,
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
+                Err(_) => {
+                    // Nobody listens there just now: wait for the next turn rather than spin.
+                    std::thread::sleep(left);
+                    continue;
+                }
+            };
+            if let Ok((last, entries)) = read_answer(id, &buffer[..length], zones)
+                && last != serial
+            {
+                serial = last;
+                if !news(entries) {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/jsonl.rs
@@ -0,0 +1,306 @@
+//! The platform's JSON lines: what a line means, and how one is written. No sockets here.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use thiserror::Error;
+use tinyjson::JsonValue;
+
+use crate::config::parse_json;
+use crate::engine::{CallName, CallerWord, PeerWord, SetUp, millis, span};
+use crate::interface::{Outcome, Reason, Report};
+
+/// No message holds more bytes than this.
+pub const LONGEST: usize = 16 * 1024;
+
+/// Cause of a normal end.
+const NORMAL: u8 = 16;
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum LineError {
+    /// It is wrong, but the call is named that it is about.
+    #[error("malformed, of call {0:?}")]
+    Call(CallName),
+    /// It cannot be read.
+    #[error("malformed")]
+    Unreadable,
+}
+
+/// A line from a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromCaller {
+    /// A set-up.
+    SetUp(CallName, SetUp),
+    /// A set-up given up, or a release.
+    Stop(CallName, u8),
+    /// A test.
+    Check(CallName),
+    /// Something free that means nothing here.
+    Nothing,
+}
+
+/// A line from an exchange.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromExchange {
+    /// The call stands.
+    Answer(CallName, Option<Arc<str>>),
+    /// A release, before or after the answer.
+    Stop(CallName, Outcome, Reason),
+    /// State of the group.
+    Usage(Report),
+    /// Answer to a test.
+    Checked(bool, Option<Report>),
+    /// Something free that means nothing here.
+    Nothing,
+}
+
+type Object = HashMap<String, JsonValue>;
+
+struct Line {
+    kind: String,
+    call: CallName,
+    fields: Object,
+}
+
+/// A field that may be a string or a number, as text.
+fn text(fields: &Object, key: &str) -> Option<String> {
+    match fields.get(key)? {
+        JsonValue::String(text) => Some(text.clone()),
+        JsonValue::Number(number) => Some(number.to_string()),
+        _ => None,
+    }
+}
+
+fn number(fields: &Object, key: &str) -> Option<f64> {
+    text(fields, key)?.trim().parse().ok().filter(|n: &f64| n.is_finite())
+}
+
+impl Line {
+    fn read(line: &[u8]) -> Result<Self, LineError> {
+        // What cannot be read as a whole may still name its call.
+        let lost = || named_call(line).map_or(LineError::Unreadable, LineError::Call);
+        let text = std::str::from_utf8(line).map_err(|_| lost())?;
+        let Ok(JsonValue::Object(fields)) = parse_json(text) else { return Err(lost()) };
+        let uid = fields.get("uid").and_then(|v| v.get::<String>());
+        let call = uid.and_then(|uid| CallName::parse(uid)).ok_or(LineError::Unreadable)?;
+        let kind = fields.get("kind").and_then(|v| v.get::<String>()).cloned();
+        Ok(Self { kind: kind.ok_or(LineError::Call(call))?, call, fields })
+    }
+
+    fn meta(&self) -> Result<&Object, LineError> {
+        self.fields.get("meta").and_then(|v| v.get::<Object>()).ok_or(LineError::Call(self.call))
+    }
+
+    fn cause(&self) -> Option<u8> {
+        let cause = number(&self.fields, "reason")?;
+        (cause.fract() == 0.0 && (0.0..=255.0).contains(&cause)).then_some(cause as u8)
+    }
+
+    fn body(&self) -> Result<Option<Arc<str>>, LineError> {
+        match self.fields.get("body") {
+            None => Ok(None),
+            Some(JsonValue::String(body)) => Ok(Some(body.as_str().into())),
+            Some(_) => Err(LineError::Call(self.call)),
+        }
+    }
+}
+
+/// The call that a line names which cannot be read: malformed, or cut at the longest length.
+pub fn named_call(line: &[u8]) -> Option<CallName> {
+    let line = &line[..line.len().min(LONGEST)];
+    let at = line.windows(5).position(|w| w == b"\"uid\"")?;
+    let mut rest = line[at + 5..].trim_ascii_start().strip_prefix(b":")?.trim_ascii_start();
+    rest = rest.strip_prefix(b"\"")?;
+    CallName::parse(std::str::from_utf8(rest.get(..16)?).ok()?)
+}
+
+/// Reads a line from a caller.
+///
+/// # Errors
+/// If it is malformed; the error names the call if the line does.
+pub fn read_caller(line: &[u8], received: SystemTime) -> Result<FromCaller, LineError> {
+    let line = Line::read(line)?;
+    Ok(match line.kind.as_str() {
+        "launch" => FromCaller::SetUp(line.call, read_setup(&line, received)?),
+        "stop" => FromCaller::Stop(line.call, line.cause().unwrap_or(NORMAL)),
+        "check" => FromCaller::Check(line.call),
+        _ => FromCaller::Nothing,
+    })
+}
+
+fn read_setup(line: &Line, received: SystemTime) -> Result<SetUp, LineError> {
+    let wrong = || LineError::Call(line.call);
+    let meta = line.meta()?;
+    let extras = text(meta, "extras").ok_or_else(wrong)?;
+    let figure = |name: &str| {
+        let pair = extras.split(';').filter_map(|pair| pair.split_once(':')).find(|(key, _)| *key == name);
+        pair.and_then(|(_, value)| value.trim().parse::<f64>().ok()).filter(|n| n.is_finite())
+    };
+    let exchange = |name: &str| figure(name).filter(|n| (0.0..=65_535.0).contains(n)).map(|n| n as u32);
+    let transit = figure("transit").is_some_and(|n| n != 0.0);
+    let via = exchange("via");
+    Ok(SetUp {
+        class: text(meta, "class").ok_or_else(wrong)?,
+        received,
+        left: Some(span(number(meta, "left").filter(|n| *n >= 0.0).ok_or_else(wrong)?)),
+        key: text(meta, "key"),
+        dest: exchange("dest").ok_or_else(wrong)?,
+        width: figure("width").filter(|n| *n > 0.0),
+        transit_from: transit.then(|| via.unwrap_or(u32::MAX)),
+        advised: if transit { None } else { via },
+        was_cut: figure("again").is_some_and(|n| n != 0.0),
+        description: line.body()?,
+    })
+}
+
+/// Reads a line from an exchange; a report has its values in the order of these names.
+///
+/// # Errors
+/// If it is malformed.
+pub fn read_exchange(line: &[u8], report: &[String]) -> Result<FromExchange, LineError> {
+    let line = Line::read(line)?;
+    Ok(match line.kind.as_str() {
+        "running" => FromExchange::Answer(line.call, line.body()?),
+        "stop" => {
+            let (outcome, reason) = read_end(&line);
+            FromExchange::Stop(line.call, outcome, reason)
+        }
+        "usage" => read_report(&line, report).map_or(FromExchange::Nothing, FromExchange::Usage),
+        "checked" => FromExchange::Checked(line.cause() == Some(1), read_report(&line, report)),
+        _ => FromExchange::Nothing,
+    })
+}
+
+/// How a release ends a call. Which of them stand for an end before the answer and which for one after it is
+/// for the engine to say, which knows whether there was one.
+fn read_end(line: &Line) -> (Outcome, Reason) {
+    let outcome = match line.cause() {
+        Some(NORMAL) => Outcome::Ended,
+        Some(34) => Outcome::Full,
+        Some(41) => Outcome::Reset,
+        Some(102) => Outcome::Moot,
+        _ => Outcome::Busy,
+    };
+    let meta = line.meta().ok();
+    let waited = meta.and_then(|meta| number(meta, "waited")).unwrap_or(0.0).max(0.0);
+    let reason = match meta.and_then(|meta| text(meta, "note")).as_deref() {
+        Some("group_full") => Reason::NoCircuit,
+        Some("tandem_refused") => Reason::TurnedBack,
+        Some("destination_full") => Reason::FullBeyond,
+        Some("processor_full") => Reason::ProcessorFull(waited),
+        Some("user_busy") => Reason::LinesBusy,
+        _ => Reason::None,
+    };
+    (outcome, reason)
+}
+
+/// The values of `load`, such as `spare:27;total:137`. What is missing is no number, which the module skips.
+fn read_report(line: &Line, names: &[String]) -> Option<Report> {
+    let load = text(line.meta().ok()?, "load")?;
+    let value = |name: &String| {
+        let pair = load.split(';').filter_map(|pair| pair.split_once(':')).find(|(key, _)| key == name);
+        pair.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(f64::NAN)
+    };
+    Some(names.iter().map(value).collect())
+}
+
+/// A string as JSON.
+fn quoted(text: &str) -> String {
+    JsonValue::String(text.to_owned()).stringify().unwrap_or_default()
+}
+
+fn line(kind: &str, call: CallName, meta: &str, cause: Option<u8>, body: Option<&str>) -> Vec<u8> {
+    let mut line = format!(r#"{{"kind":"{kind}","uid":"{}","meta":{{{meta}}}"#, call.as_str());
+    if let Some(cause) = cause {
+        let _ = write!(line, r#","reason":{cause}"#);
+    }
+    if let Some(body) = body {
+        let _ = write!(line, r#","body":{}"#, quoted(body));
+    }
+    line.push_str("}\n");
+    line.into_bytes()
+}
+
+fn whole_millis(span: Duration) -> u64 {
+    millis(span).round() as u64
+}
+
+/// A line to a caller.
+pub fn write_caller(call: CallName, word: &CallerWord) -> Vec<u8> {
+    match word {
+        CallerWord::Answer { description } => line("running", call, "", None, description.as_deref()),
+        CallerWord::Refused { wait } if wait.is_zero() => line("stop", call, "", Some(34), None),
+        CallerWord::Refused { wait } => {
+            let wait = format!(r#""wait":"{}""#, whole_millis(*wait));
+            line("stop", call, &wait, Some(34), None)
+        }
+        CallerWord::Failed { busy: true } => line("stop", call, "", Some(17), None),
+        CallerWord::Failed { busy: false } => line("stop", call, "", Some(41), None),
+        CallerWord::Released { cut } => line("stop", call, "", Some(if *cut { 41 } else { NORMAL }), None),
+        CallerWord::Checked { passed } => line("checked", call, "", Some((*passed).into()), None),
+    }
+}
+
+/// A line to an exchange.
+pub fn write_exchange(call: CallName, word: &PeerWord) -> Vec<u8> {
+    match word {
+        PeerWord::SetUp { class, key, left, description } => {
+            let mut meta = format!(r#""class":{}"#, quoted(class));
+            if let Some(key) = key {
+                let _ = write!(meta, r#","key":{}"#, quoted(key));
+            }
+            let _ = write!(meta, r#","left":"{}""#, whole_millis(*left));
+            line("launch", call, &meta, None, description.as_deref())
+        }
+        PeerWord::GiveUp => line("stop", call, "", Some(NORMAL), None),
+        PeerWord::Release { cause } => line("stop", call, "", Some(*cause), None),
+        PeerWord::Test => line("check", call, "", Some(1), None),
+    }
+}
+
+/// Cuts a stream of bytes into lines, and holds no more than the longest one.
+#[derive(Debug, Default)]
+pub struct Lines {
+    buffer: Vec<u8>,
+    /// The rest of an oversized line is passed over.
+    skipping: bool,
+}
+
+/// A line, or the start of one that is too long.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// A whole line, without its line feed.
+    Whole(Vec<u8>),
+    /// The first bytes of one that is too long.
+    TooLong(Vec<u8>),
+}
+
+impl Lines {
+    /// Takes what has come and hands on each line that it completes.
+    pub fn push(&mut self, mut bytes: &[u8], mut each: impl FnMut(Cut)) {
+        while !bytes.is_empty() {
+            let end = bytes.iter().position(|b| *b == b'\n');
+            let (part, rest) = match end {
+                Some(end) => (&bytes[..end], &bytes[end + 1..]),
+                None => (bytes, &[][..]),
+            };
+            bytes = rest;
+            if !self.skipping {
+                self.buffer.extend_from_slice(part);
+                if self.buffer.len() >= LONGEST {
+                    self.skipping = true;
+                    each(Cut::TooLong(std::mem::take(&mut self.buffer)));
+                }
+            }
+            if end.is_some() {
+                let whole = std::mem::take(&mut self.buffer);
+                if !std::mem::take(&mut self.skipping) && !whole.trim_ascii().is_empty() {
+                    each(Cut::Whole(whole));
+                }
+            }
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,10 +5,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{Host, START, number, place, settings};
-use swiftlb::Controller;
-use swiftlb::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use swiftlb::Controller;
+use swiftlb::interface::*;
 
 #[test]
 fn rule_1_a_timed_out_call_that_cannot_be_sent_again_fails_at_once() {
