--- /dev/null
+++ b/tests/common/desk.rs
@@ -0,0 +1,186 @@
+//! Virtual time round one engine: a configuration of an invented deployment, inputs, and what came out.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use swiftlb::config::Config;
+use swiftlb::engine::{
+    CallName, CallerWord, ConnId, Effect, Engine, Entry, Front, Input, LinkId, PeerWord, SetUp,
+};
+use swiftlb::interface::{Outcome, Readiness, Reason};
+
+/// A configuration with this many exchanges, number 0 being the own one.
+pub fn config_text(listen: &str, names: &str, exchanges: &[String]) -> String {
+    let members: Vec<String> = exchanges
+        .iter()
+        .enumerate()
+        .map(|(i, address)| {
+            format!(
+                r#"{{"id":"s-{i}","host_port":"{address}","locality":"north","flavor":"std","cell":{i},
+                "phase":"in_service","size":1,"up_since_ms":0}}"#
+            )
+        })
+        .collect();
+    let class = |name: &str, most: u32, worth: u32| {
+        format!(
+            r#"{{"name":"{name}","aimMs":1000,"hardLimitMs":{most},"lateShare":0.25,"worth":{worth},"semantics":"pure"}}"#
+        )
+    };
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","names":"{names}",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+        "known":{{"n":1,"events":[{{"n":1,"members":{{"revision":0,"complete":true,"members":[{}]}}}}]}},
+        "settings":{{"balancers":{},"selfIndex":0,"classes":[{},{}],"tenants":[],"overShareWorth":0.1,
+        "discovery":"push","report":{{"fields":["spare","total"],"via":"on_probe"}},"tickMs":1,
+        "zones":["north","south"],
+        "invariants":{{"askEveryMs":10000,"coldFrom":0.34,"coldMs":13000,"fallMultiple":2.5,
+        "stopSendingWithinMs":2000,"tipAfterMs":2000}},
+        "policyLimits":{{"cancelling":true,"connectTimeoutMs":500,"maxRetryAfterMs":2000,"mayTell":false,
+        "probes":false,"retryAfter":true,"tryLimit":4}},
+        "specifics":{{"channelsNeeded":[1,1],"classCells":[],"classHoldMs":[9000,5000],"farState":"off",
+        "homeOffice":0,"releaseMs":500,"resendMs":500,"shape":"meshed"}}}}}}"#,
+        members.join(","),
+        exchanges.len(),
+        class("status", 3000, 1),
+        class("lookup", 2000, 5),
+    )
+}
+
+/// The link on which the desk's calls come.
+pub const LINK: LinkId = 7;
+
+/// One engine, and the time as the test tells it.
+pub struct Desk {
+    pub engine: Engine,
+    pub now: SystemTime,
+    /// Everything that has come out since it was last looked at.
+    pub seen: Vec<Effect>,
+    /// The latest way to each exchange, by its place in the list.
+    pub ways: Vec<(String, ConnId)>,
+}
+
+pub fn name(call: u64) -> CallName {
+    CallName::from_u64(call)
+}
+
+pub fn entry(place: usize, readiness: Readiness) -> Entry {
+    Entry {
+        name: format!("s-{place}").into(),
+        address: format!("10.0.0.{}:5070", place + 1).parse().expect("an address"),
+        number: place as u32,
+        zone: 0,
+        born: None,
+        readiness,
+    }
+}
+
+impl Desk {
+    /// An engine with this many exchanges and a way up to each, and one link.
+    pub fn new(exchanges: usize) -> Self {
+        let mut desk = Self::unconnected(exchanges);
+        for place in 1..exchanges {
+            let conn = desk.way(place);
+            desk.put(Input::Connected { conn });
+        }
+        desk.seen.clear();
+        desk
+    }
+
+    pub fn unconnected(exchanges: usize) -> Self {
+        let addresses: Vec<String> = (0..exchanges).map(|i| format!("10.0.0.{}:5070", i + 1)).collect();
+        let text = config_text("127.0.0.1:0", "127.0.0.1:53", &addresses);
+        let config = Config::parse(&text).expect("a configuration");
+        let now = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+        let mut seen = Vec::new();
+        let engine = Engine::new(&config, now, &mut seen).expect("settings that make sense");
+        let mut desk = Self { engine, now, seen, ways: Vec::new() };
+        desk.note_ways(0);
+        desk.put(Input::LinkUp { link: LINK, front: Front::Platform });
+        desk
+    }
+
+    fn note_ways(&mut self, from: usize) {
+        for effect in &self.seen[from..] {
+            if let Effect::Connect { conn, name, .. } = effect {
+                self.ways.push((name.to_string(), *conn));
+            }
+        }
+    }
+
+    /// The latest way asked for to the exchange at this place.
+    pub fn way(&self, place: usize) -> ConnId {
+        let name = format!("s-{place}");
+        self.ways.iter().rev().find(|(n, _)| *n == name).expect("a way").1
+    }
+
+    pub fn put(&mut self, input: Input) {
+        let from = self.seen.len();
+        self.engine.handle(self.now, input, &mut self.seen);
+        self.note_ways(from);
+    }
+
+    /// Lets time pass, with every timer rung at its time.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now + Duration::from_millis(ms);
+        while let Some(at) = self.engine.next_wake().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.put(Input::Wake);
+        }
+        self.now = end;
+    }
+
+    pub fn setup(&self, dest: u32, left: u64) -> SetUp {
+        SetUp {
+            class: "status".to_owned(),
+            received: self.now,
+            left: Some(Duration::from_millis(left)),
+            key: Some("7f3a9c21e0b4d655".to_owned()),
+            dest,
+            width: Some(1.0),
+            transit_from: None,
+            advised: None,
+            was_cut: false,
+            description: Some(Arc::from("v=0\r\n")),
+        }
+    }
+
+    pub fn call(&mut self, call: u64, dest: u32, left: u64) {
+        let setup = self.setup(dest, left);
+        self.put(Input::SetUp { link: LINK, call: name(call), setup });
+    }
+
+    pub fn answer(&mut self, call: u64, place: usize) {
+        let conn = self.way(place);
+        let description = Some(Arc::from("answer"));
+        self.put(Input::Answered { conn, call: name(call), description });
+    }
+
+    pub fn end(&mut self, call: u64, place: usize, outcome: Outcome, reason: Reason) {
+        let conn = self.way(place);
+        self.put(Input::Ended { conn, call: name(call), outcome, reason });
+    }
+
+    /// What callers were told of this call.
+    pub fn told(&self, call: u64) -> Vec<CallerWord> {
+        let told = self.seen.iter().filter_map(|effect| match effect {
+            Effect::ToCaller { call: c, word, .. } if *c == name(call) => Some(word.clone()),
+            _ => None,
+        });
+        told.collect()
+    }
+
+    /// What exchanges were told of this call, with the way it went.
+    pub fn sent(&self, call: u64) -> Vec<(ConnId, PeerWord)> {
+        let sent = self.seen.iter().filter_map(|effect| match effect {
+            Effect::ToExchange { conn, call: c, word } if *c == name(call) => Some((*conn, word.clone())),
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    /// Set-ups sent for this call.
+    pub fn setups(&self, call: u64) -> usize {
+        self.sent(call).iter().filter(|(_, word)| matches!(word, PeerWord::SetUp { .. })).count()
+    }
+}
--- /dev/null
+++ b/tests/engine.rs
@@ -0,0 +1,204 @@
+//! The reducer under virtual time: what it guards against, whatever the exchanges, callers and list do.
+
+#[path = "common/desk.rs"]
+mod desk;
+
+use std::time::Duration;
+
+use desk::{Desk, LINK, entry, name};
+use swiftlb::engine::{CallerWord, Effect, Front, Input, PeerWord};
+use swiftlb::interface::{Outcome, Readiness, Reason};
+
+const FAILED: CallerWord = CallerWord::Failed { busy: false };
+const CUT: CallerWord = CallerWord::Released { cut: true };
+
+#[test]
+fn a_call_is_set_up_answered_and_released_with_its_fields_unchanged() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 1_500);
+    let sent = desk.sent(1);
+    let PeerWord::SetUp { class, key, left, description } = &sent[0].1 else { panic!("{sent:?}") };
+    assert_eq!((sent.len(), sent[0].0, class.as_str()), (1, desk.way(2), "status"));
+    assert_eq!((key.as_deref(), *left), (Some("7f3a9c21e0b4d655"), Duration::from_millis(1_500)));
+    assert_eq!(description.as_deref(), Some("v=0\r\n"));
+    desk.answer(1, 2);
+    assert_eq!(desk.told(1), [CallerWord::Answer { description: Some("answer".into()) }]);
+    desk.seen.clear();
+    desk.pass(5_000);
+    desk.end(1, 2, Outcome::Ended, Reason::None);
+    assert_eq!(desk.told(1), [CallerWord::Released { cut: false }]);
+    assert_eq!(desk.engine.calls(), 0);
+}
+
+#[test]
+fn a_stalled_exchange_costs_one_final_answer_at_the_callers_time() {
+    let mut desk = Desk::new(3);
+    // Received 40 ms before its turn came: the caller's clock runs from then.
+    let mut setup = desk.setup(2, 1_000);
+    setup.received = desk.now - Duration::from_millis(40);
+    desk.put(Input::SetUp { link: LINK, call: name(1), setup });
+    desk.pass(955);
+    assert_eq!(desk.told(1), []);
+    desk.pass(10);
+    assert_eq!(desk.told(1), [FAILED]);
+    assert_eq!(desk.sent(1).last(), Some(&(desk.way(2), PeerWord::GiveUp)));
+    // A late answer changes nothing, nor does a late release.
+    desk.answer(1, 2);
+    desk.end(1, 2, Outcome::Ended, Reason::None);
+    desk.pass(3_000);
+    assert_eq!(desk.told(1), [FAILED]);
+}
+
+#[test]
+fn after_a_reset_the_call_waits_out_the_release_pause_and_has_one_attempt_out() {
+    let mut desk = Desk::new(4);
+    desk.call(1, 2, 2_500);
+    desk.end(1, 2, Outcome::Reset, Reason::None);
+    assert_eq!(desk.setups(1), 1);
+    desk.pass(499);
+    assert_eq!(desk.setups(1), 1, "sent within the release pause");
+    desk.pass(2);
+    assert_eq!(desk.setups(1), 2);
+    // What the first exchange still says of it is stale.
+    desk.answer(1, 2);
+    assert_eq!(desk.told(1), []);
+    let second = desk.sent(1).last().map(|(conn, _)| *conn);
+    let place = (1..4).find(|place| Some(desk.way(*place)) == second).expect("it went somewhere");
+    desk.answer(1, place);
+    assert_eq!(desk.told(1).len(), 1);
+}
+
+#[test]
+fn a_caller_that_gives_up_is_owed_nothing_and_its_attempt_is_called_off() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 1_500);
+    desk.put(Input::HangUp { call: name(1), cause: 16 });
+    assert_eq!(desk.sent(1).last(), Some(&(desk.way(2), PeerWord::GiveUp)));
+    desk.pass(3_000);
+    assert_eq!((desk.told(1), desk.engine.calls()), (vec![], 0));
+}
+
+#[test]
+fn a_closed_connection_gives_up_its_open_set_ups_and_leaves_standing_calls() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 1_500);
+    desk.call(2, 2, 1_500);
+    desk.answer(1, 2);
+    desk.seen.clear();
+    desk.put(Input::LinkDown { link: LINK });
+    assert_eq!(desk.sent(2), [(desk.way(2), PeerWord::GiveUp)]);
+    assert_eq!((desk.sent(1), desk.engine.calls()), (vec![], 1));
+    // Its end waits for the next connection of the same front.
+    desk.end(1, 2, Outcome::Ended, Reason::None);
+    desk.put(Input::LinkUp { link: 8, front: Front::Handsets });
+    assert_eq!(desk.told(1), []);
+    desk.put(Input::LinkUp { link: 9, front: Front::Platform });
+    let word = CallerWord::Released { cut: false };
+    assert_eq!(desk.seen.last(), Some(&Effect::ToCaller { link: 9, call: name(1), word }));
+}
+
+#[test]
+fn a_caller_may_release_a_standing_call_on_any_connection() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 1_500);
+    desk.answer(1, 2);
+    desk.put(Input::HangUp { call: name(1), cause: 16 });
+    assert_eq!(desk.sent(1).last(), Some(&(desk.way(2), PeerWord::Release { cause: 16 })));
+    assert_eq!(desk.engine.calls(), 0);
+}
+
+#[test]
+fn a_dead_process_cuts_its_calls_and_a_closed_connection_does_not() {
+    let mut desk = Desk::new(4);
+    for (call, dest) in [(1, 2), (2, 3)] {
+        desk.call(call, dest, 1_500);
+        desk.answer(call, dest as usize);
+    }
+    desk.put(Input::ConnectionLost { conn: desk.way(3), reset: false });
+    desk.put(Input::ConnectionLost { conn: desk.way(2), reset: true });
+    assert_eq!(desk.told(1).last(), Some(&CUT));
+    assert_eq!(desk.told(2).len(), 1);
+    // Nothing runs at an exchange that refuses to connect.
+    desk.put(Input::ConnectFailed { conn: desk.way(3), refused: true });
+    assert_eq!(desk.told(2).last(), Some(&CUT));
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran_and_the_call_goes_elsewhere_at_once() {
+    let mut desk = Desk::new(4);
+    desk.put(Input::ConnectionLost { conn: desk.way(2), reset: true });
+    desk.call(1, 2, 1_500);
+    assert_eq!(desk.setups(1), 0);
+    desk.put(Input::ConnectFailed { conn: desk.way(2), refused: true });
+    assert_eq!(desk.setups(1), 1);
+}
+
+#[test]
+fn nothing_goes_to_an_exchange_that_drains_and_one_that_is_gone_cuts_its_calls() {
+    let mut desk = Desk::new(4);
+    desk.call(1, 2, 1_500);
+    desk.answer(1, 2);
+    let list = |two: Option<Readiness>| {
+        let places = [Some(Readiness::Ready), Some(Readiness::Ready), two, Some(Readiness::Ready)];
+        let entries = places.iter().enumerate().filter_map(|(i, r)| r.map(|r| entry(i, r)));
+        Input::List(entries.collect())
+    };
+    desk.put(list(Some(Readiness::Draining)));
+    let drained = desk.way(2);
+    desk.call(2, 2, 1_500);
+    assert!(desk.sent(2).iter().all(|(conn, _)| *conn != drained));
+    assert_eq!(desk.told(1).len(), 1);
+    desk.put(list(None));
+    desk.pass(1_000);
+    assert_eq!(desk.told(1).last(), Some(&CUT));
+    assert!(desk.seen.contains(&Effect::Close { conn: drained }));
+}
+
+#[test]
+fn a_new_exchange_at_an_old_address_is_another_one() {
+    let mut desk = Desk::new(3);
+    let mut later = entry(2, Readiness::Ready);
+    later.name = "s-2b".into();
+    let list = vec![entry(0, Readiness::Ready), entry(1, Readiness::Ready), later];
+    desk.put(Input::List(list));
+    let dialled = desk.ways.last().expect("a way").clone();
+    assert_eq!(dialled.0, "s-2b");
+    desk.put(Input::Connected { conn: dialled.1 });
+    desk.call(1, 2, 1_500);
+    assert_eq!(desk.sent(1).first().map(|(conn, _)| *conn), Some(dialled.1));
+}
+
+#[test]
+fn a_second_set_up_under_an_id_in_use_and_a_malformed_one_do_not_answer_for_it() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 1_500);
+    desk.call(1, 1, 1_500);
+    desk.put(Input::Malformed { link: LINK, call: name(1) });
+    assert_eq!((desk.setups(1), desk.told(1)), (1, vec![]));
+    desk.put(Input::Malformed { link: LINK, call: name(2) });
+    assert_eq!(desk.told(2), [FAILED]);
+}
+
+#[test]
+fn a_drain_goes_on_serving_and_ends_when_all_is_answered() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 2_000);
+    desk.put(Input::Drain);
+    desk.pass(500);
+    desk.call(2, 1, 2_000);
+    desk.pass(600);
+    assert!(!desk.seen.contains(&Effect::Exit));
+    desk.answer(1, 2);
+    assert!(!desk.seen.contains(&Effect::Exit));
+    desk.answer(2, 1);
+    assert!(desk.seen.contains(&Effect::Exit));
+}
+
+#[test]
+fn a_refused_call_hears_at_once_when_to_come_back() {
+    let mut desk = Desk::new(2);
+    let report = vec![0.0, 10.0];
+    desk.put(Input::GroupState { conn: desk.way(1), report });
+    desk.call(1, 1, 1_500);
+    assert_eq!(desk.told(1), [CallerWord::Refused { wait: Duration::from_millis(300) }]);
+}
