--- a/src/config.rs
+++ b/src/config.rs
@@ -117,6 +117,11 @@
 /// # Errors
 /// If it is malformed or nested too deep.
 pub fn parse_json(text: &str) -> Result<JsonValue, String> {
+    parse_json_to(DEEPEST, text)
+}
+
+/// The same with another bound, for files that are read on a large stack.
+pub(crate) fn parse_json_to(deepest: usize, text: &str) -> Result<JsonValue, String> {
     let (mut depth, mut in_string, mut escaped) = (0_usize, false, false);
     for byte in text.bytes() {
         match byte {
@@ -125,7 +130,7 @@
             b'"' => in_string = !in_string,
             b'[' | b'{' if !in_string => {
                 depth += 1;
-                if depth > DEEPEST {
+                if depth > deepest {
                     return Err("nested too deep".to_owned());
                 }
             }
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -104,7 +104,8 @@
         let conn = self.last_conn;
         peer.way = Way::Dialling(conn);
         self.conns.insert(conn, id);
-        effects.push(Effect::Connect { conn, peer: id, name: peer.name.clone(), address: peer.address });
+        let (name, number, address) = (peer.name.clone(), peer.number, peer.address);
+        effects.push(Effect::Connect { conn, peer: id, name, number, address });
     }
 
     pub(super) fn redial(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -288,6 +288,8 @@
         peer: ExchangeId,
         /// Its name.
         name: Arc<str>,
+        /// Its number.
+        number: Number,
         /// Its address.
         address: SocketAddr,
     },
--- /dev/null
+++ b/src/iax2/mod.rs
@@ -0,0 +1,633 @@
+//! The IAX2 front and node side: its configuration and the endpoint that joins legs to calls.
+//!
+//! [`Endpoint`] has no socket and no clock either: the driver gives it datagrams, words of the engine and the
+//! time, and takes datagrams and inputs for the engine from it. Calls, deadlines and attempts are the
+//! engine's, exactly as for JSON lines.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use crate::config::{ConfigError, Node, parse_json};
+use crate::engine::{CallName, CallerWord, ConnId, Input, LinkId, PeerWord, SetUp};
+use crate::interface::{Number, Outcome, Reason};
+use element::{Elements, G711, SPOKEN, cause_of, end_of};
+use frame::{Frame, Full, Kind, Mini, control, iax};
+use leg::{Heard, Leg, Voice};
+
+pub mod element;
+pub mod frame;
+pub mod leg;
+
+/// Time between two tries to see whether a node is there.
+const POKE_AGAIN: Duration = Duration::from_millis(150);
+/// A set-up of a call that has ended here is a repeated datagram for this long, not a new call.
+const REMEMBER: Duration = Duration::from_secs(5);
+/// Calls that callers may have open at once; more would cost memory that the platform limits.
+const MOST_CALLERS: usize = 4_096;
+/// Highest call number.
+const LAST_NUMBER: u16 = 0x7fff;
+/// Number under which a poke is answered; no call has it.
+const POKE_NUMBER: u16 = 1;
+
+/// What the file of this front says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Iax2Config {
+    /// Where it listens, for callers and for what nodes answer.
+    pub listen: SocketAddr,
+    contexts: Vec<Context>,
+    nodes: Vec<Number>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Context {
+    name: String,
+    class: String,
+    numbers: Vec<(String, Number)>,
+}
+
+impl Iax2Config {
+    /// Decodes the file; `None` where the front is off.
+    ///
+    /// # Errors
+    /// If it is malformed; the error names the key.
+    pub fn parse(text: &str) -> Result<Option<Self>, ConfigError> {
+        let json = parse_json(text).map_err(ConfigError::NotJson)?;
+        let top = Node { path: String::new(), value: &json };
+        if !top.flag("enabled")? {
+            return Ok(None);
+        }
+        let number = |node: &Node<'_>| {
+            let number = node.value.get::<f64>().copied().filter(|n| (0.0..=65_535.0).contains(n));
+            number.map(|n| n as Number).ok_or_else(|| ConfigError::Key(node.path.clone()))
+        };
+        let read_context = |context: &Node<'_>| {
+            let numbers = context.get("numbers")?.items()?;
+            let read = |n: &Node<'_>| Ok((n.text("prefix")?, number(&n.get("exchange")?)?));
+            Ok(Context {
+                name: context.text("context")?,
+                class: context.text("class")?,
+                numbers: numbers.iter().map(read).collect::<Result<_, ConfigError>>()?,
+            })
+        };
+        let contexts = top.get("contexts")?.items()?;
+        Ok(Some(Self {
+            listen: top.text("listen")?.parse()?,
+            contexts: contexts.iter().map(read_context).collect::<Result<_, ConfigError>>()?,
+            nodes: top.get("nodes")?.items()?.iter().map(number).collect::<Result<_, _>>()?,
+        }))
+    }
+
+    /// Whether the exchange with this number speaks IAX2.
+    pub fn speaks(&self, exchange: Number) -> bool {
+        self.nodes.contains(&exchange)
+    }
+
+    /// Class and exchange of a number called in a context: the longest prefix counts.
+    fn route(&self, context: &str, called: &str) -> Option<(&str, Number)> {
+        let context = self.contexts.iter().find(|c| c.name == context)?;
+        let fits = context.numbers.iter().filter(|(prefix, _)| called.starts_with(prefix.as_str()));
+        let (_, exchange) = fits.max_by_key(|(prefix, _)| prefix.len())?;
+        Some((context.class.as_str(), *exchange))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Caller,
+    Node(ConnId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Early,
+    Up,
+    /// Its last message is out; it waits for the acknowledgement alone.
+    Closing,
+}
+
+#[derive(Debug)]
+struct Line {
+    leg: Leg,
+    peer: SocketAddr,
+    call: CallName,
+    role: Role,
+    state: State,
+    format: u32,
+}
+
+#[derive(Debug)]
+struct Poke {
+    conn: ConnId,
+    address: SocketAddr,
+    next: SystemTime,
+    until: SystemTime,
+}
+
+/// What an endpoint asks for.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// Datagrams to send.
+    pub datagrams: Vec<(SocketAddr, Vec<u8>)>,
+    /// Inputs for the engine.
+    pub inputs: Vec<Input>,
+}
+
+/// All legs of one socket.
+#[derive(Debug)]
+pub struct Endpoint {
+    config: Iax2Config,
+    link: LinkId,
+    names: u64,
+    last_number: u16,
+    lines: BTreeMap<u16, Line>,
+    pokes: BTreeMap<u16, Poke>,
+    nodes: HashMap<ConnId, SocketAddr>,
+    by_remote: HashMap<(SocketAddr, u16), u16>,
+    callers: HashMap<CallName, u16>,
+    node_legs: HashMap<(CallName, ConnId), u16>,
+    standing: HashMap<CallName, u16>,
+    /// Callers' numbers whose calls are over, with the time stamp of the set-up.
+    recent: HashMap<(SocketAddr, u16), (u32, SystemTime)>,
+}
+
+impl Endpoint {
+    /// An endpoint whose calls come on this link; the seed makes their ids.
+    pub fn new(config: Iax2Config, link: LinkId, seed: u64) -> Self {
+        Self {
+            config,
+            link,
+            names: seed,
+            last_number: POKE_NUMBER,
+            lines: BTreeMap::new(),
+            pokes: BTreeMap::new(),
+            nodes: HashMap::new(),
+            by_remote: HashMap::new(),
+            callers: HashMap::new(),
+            node_legs: HashMap::new(),
+            standing: HashMap::new(),
+            recent: HashMap::new(),
+        }
+    }
+
+    /// Legs that it holds.
+    pub fn legs(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// When it wants to be woken.
+    pub fn next_wake(&self) -> Option<SystemTime> {
+        let lines = self.lines.values().filter_map(|line| line.leg.next_wake(line.state == State::Closing));
+        lines.chain(self.pokes.values().map(|poke| poke.next.min(poke.until))).min()
+    }
+
+    /// Does what is due.
+    pub fn wake(&mut self, now: SystemTime, out: &mut Output) {
+        let due = |line: &Line| line.leg.next_wake(line.state == State::Closing).is_some_and(|at| at <= now);
+        let numbers: Vec<u16> = self.lines.iter().filter(|(_, line)| due(line)).map(|(n, _)| *n).collect();
+        for number in numbers {
+            let alive =
+                self.on_leg(number, out, |line, sent| line.leg.wake(now, line.state == State::Closing, sent));
+            if alive == Some(false) {
+                self.lost(number, now, out);
+            }
+        }
+        let numbers: Vec<u16> = self.pokes.keys().copied().collect();
+        for number in numbers {
+            let Some(poke) = self.pokes.get_mut(&number) else { continue };
+            if poke.until <= now {
+                out.inputs.push(Input::ConnectFailed { conn: poke.conn, refused: false });
+                self.pokes.remove(&number);
+            } else if poke.next <= now {
+                poke.next = now + POKE_AGAIN;
+                out.datagrams.push((poke.address, poke_frame(number, true)));
+            }
+        }
+        self.recent.retain(|_, (_, until)| *until > now);
+    }
+
+    /// Works on a leg and sends what it wants to have sent.
+    fn on_leg<T>(
+        &mut self,
+        number: u16,
+        out: &mut Output,
+        work: impl FnOnce(&mut Line, &mut Vec<Vec<u8>>) -> T,
+    ) -> Option<T> {
+        let line = self.lines.get_mut(&number)?;
+        let mut sent = Vec::new();
+        let done = work(line, &mut sent);
+        out.datagrams.extend(sent.into_iter().map(|bytes| (line.peer, bytes)));
+        Some(done)
+    }
+
+    fn free_number(&mut self) -> Option<u16> {
+        (0..LAST_NUMBER).find_map(|_| {
+            let next = self.last_number % LAST_NUMBER + 1;
+            self.last_number = next.max(POKE_NUMBER + 1);
+            let number = self.last_number;
+            (!self.lines.contains_key(&number) && !self.pokes.contains_key(&number)).then_some(number)
+        })
+    }
+
+    /// The one place where a leg is given back.
+    fn remove(&mut self, number: u16, now: SystemTime) -> Option<Line> {
+        let line = self.lines.remove(&number)?;
+        let remote = (line.peer, line.leg.remote);
+        if self.by_remote.get(&remote) == Some(&number) {
+            self.by_remote.remove(&remote);
+        }
+        match line.role {
+            Role::Caller => {
+                self.callers.remove(&line.call);
+                if let Some((_, until)) = self.recent.get_mut(&remote) {
+                    *until = now + REMEMBER;
+                }
+            }
+            Role::Node(conn) => {
+                self.node_legs.remove(&(line.call, conn));
+                if self.standing.get(&line.call) == Some(&number) {
+                    self.standing.remove(&line.call);
+                }
+            }
+        }
+        Some(line)
+    }
+
+    /// The far end of a leg is dead or knows the call no more.
+    fn lost(&mut self, number: u16, now: SystemTime, out: &mut Output) {
+        let Some(line) = self.remove(number, now) else { return };
+        if line.state == State::Closing {
+            return;
+        }
+        out.inputs.push(match line.role {
+            Role::Caller => Input::HangUp { call: line.call, cause: 41 },
+            Role::Node(conn) => {
+                let (outcome, reason) = (Outcome::Reset, Reason::None);
+                Input::Ended { conn, call: line.call, outcome, reason }
+            }
+        });
+    }
+
+    // ---- datagrams ----
+
+    /// Takes a datagram that came at this time. Whatever it holds, it can only end a call of its sender.
+    pub fn receive(&mut self, now: SystemTime, from: SocketAddr, bytes: &[u8], out: &mut Output) {
+        match frame::read(bytes) {
+            Ok(Frame::Full(frame)) => self.full(now, from, frame, out),
+            Ok(Frame::Mini(mini)) => self.mini(now, from, mini, out),
+            Err(_) => {}
+        }
+    }
+
+    fn full(&mut self, now: SystemTime, from: SocketAddr, frame: Full, out: &mut Output) {
+        if frame.dest == 0 && frame.is(iax::POKE) {
+            let pong = Full { source: POKE_NUMBER, dest: frame.source, iseq: 1, ..frame };
+            let pong = Full { again: false, oseq: 0, subclass: iax::PONG, payload: Vec::new(), ..pong };
+            out.datagrams.push((from, pong.write()));
+            return;
+        }
+        if self.pokes.get(&frame.dest).is_some_and(|poke| poke.address == from) && frame.is(iax::PONG) {
+            if let Some(poke) = self.pokes.remove(&frame.dest) {
+                let ack = Full { source: frame.dest, dest: frame.source, oseq: 1, iseq: 1, ..frame };
+                let ack = Full { again: false, subclass: iax::ACK, payload: Vec::new(), ..ack };
+                out.datagrams.push((from, ack.write()));
+                self.nodes.insert(poke.conn, poke.address);
+                out.inputs.push(Input::Connected { conn: poke.conn });
+            }
+            return;
+        }
+        // A peer that has not heard our number yet is known by its own.
+        let known = self.by_remote.get(&(from, frame.source)).copied();
+        let number = if frame.dest == 0 { known } else { Some(frame.dest) };
+        let fits = |line: &&Line| line.peer == from && [0, frame.source].contains(&line.leg.remote);
+        let number = number.filter(|n| self.lines.get(n).as_ref().is_some_and(fits));
+        match number {
+            Some(number) => self.on_line(now, number, frame, out),
+            None if frame.dest == 0 && frame.is(iax::NEW) => self.set_up(now, from, frame, out),
+            // Neither end may answer a report with a report for ever; and nothing is owed to a late one.
+            None if frame.is(iax::INVAL) || frame.is(iax::ACK) || frame.dest == POKE_NUMBER => {}
+            None => {
+                let inval = Full { source: frame.dest, dest: frame.source, again: false, ..frame };
+                let inval = Full { oseq: frame.iseq, iseq: frame.oseq, kind: Kind::Iax, ..inval };
+                let inval = Full { subclass: iax::INVAL, payload: Vec::new(), ..inval };
+                out.datagrams.push((from, inval.write()));
+            }
+        }
+    }
+
+    fn on_line(&mut self, now: SystemTime, number: u16, frame: Full, out: &mut Output) {
+        let source = frame.source;
+        let heard = self.on_leg(number, out, |line, sent| line.leg.receive(now, frame, sent));
+        let Some(line) = self.lines.get(&number) else { return };
+        if matches!(line.role, Role::Node(_)) && line.leg.remote == source {
+            self.by_remote.insert((line.peer, source), number);
+        }
+        let done = line.state == State::Closing && line.leg.is_quiet();
+        match heard {
+            Some(Heard::Invalid) => self.lost(number, now, out),
+            Some(Heard::Frame(frame)) => self.deliver(now, number, frame, out),
+            _ if done => drop(self.remove(number, now)),
+            _ => {}
+        }
+    }
+
+    /// A set-up from a caller.
+    fn set_up(&mut self, now: SystemTime, from: SocketAddr, frame: Full, out: &mut Output) {
+        let remote = (from, frame.source);
+        if self.recent.get(&remote).is_some_and(|(stamp, until)| *stamp == frame.timestamp && now < *until) {
+            return;
+        }
+        let Some(number) = self.free_number() else { return };
+        self.names = self.names.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let call = CallName::from_u64(scattered(self.names));
+        let elements = Elements::read(&frame.payload);
+        let full = self.callers.len() >= MOST_CALLERS;
+        let mut leg = Leg::new(number, frame.source, now);
+        let mut sent = Vec::new();
+        let stamp = frame.timestamp;
+        let heard = leg.receive(now, frame, &mut sent);
+        out.datagrams.extend(sent.into_iter().map(|bytes| (from, bytes)));
+        if !matches!(heard, Heard::Frame(_)) {
+            return;
+        }
+        let wanted = elements.as_ref().ok().cloned().unwrap_or_default();
+        let line =
+            Line { leg, peer: from, call, role: Role::Caller, state: State::Early, format: chosen(&wanted) };
+        self.lines.insert(number, line);
+        self.by_remote.insert(remote, number);
+        self.recent.insert(remote, (stamp, now + REMEMBER));
+        let called = wanted.called_number.clone().unwrap_or_default();
+        let context = wanted.called_context.as_deref().unwrap_or_default();
+        let route = self.config.route(context, &called).map(|(class, to)| (class.to_owned(), to));
+        let refusal = match (&elements, route) {
+            _ if full => Err(Elements::of_cause(42, "too many calls")),
+            (Err(_), _) => Err(Elements::of_cause(95, "malformed set-up")),
+            (Ok(e), _) if e.version != Some(SPOKEN) => {
+                Err(Elements::of_cause(111, "version 2 is spoken here"))
+            }
+            (_, None) => Err(Elements::of_cause(1, "no such number in this context")),
+            (_, Some(route)) => Ok(route),
+        };
+        match refusal {
+            Err(why) => self.end(number, now, iax::REJECT, &why, out),
+            Ok((class, dest)) => {
+                self.callers.insert(call, number);
+                let description = describe(wanted.capability.unwrap_or(chosen(&wanted)), chosen(&wanted));
+                let setup = SetUp {
+                    class,
+                    received: now,
+                    left: None,
+                    key: Some(called),
+                    dest,
+                    width: None,
+                    transit_from: None,
+                    advised: None,
+                    was_cut: false,
+                    description: Some(description.into()),
+                };
+                out.inputs.push(Input::SetUp { link: self.link, call, setup });
+            }
+        }
+    }
+
+    /// A frame in order on a leg that is known.
+    fn deliver(&mut self, now: SystemTime, number: u16, frame: Full, out: &mut Output) {
+        let Some(line) = self.lines.get_mut(&number) else { return };
+        let (call, role, state) = (line.call, line.role, line.state);
+        let over = frame.is(iax::HANGUP)
+            || frame.is(iax::REJECT)
+            || (frame.kind == Kind::Control && frame.subclass == control::HANGUP);
+        if over {
+            let why = match frame.kind {
+                Kind::Iax => Elements::read(&frame.payload).unwrap_or_default(),
+                _ => Elements::default(),
+            };
+            self.remove(number, now);
+            if state != State::Closing {
+                let (outcome, reason) = end_of(&why);
+                out.inputs.push(match role {
+                    Role::Caller => Input::HangUp { call, cause: why.cause_code.unwrap_or(16) },
+                    Role::Node(conn) => Input::Ended { conn, call, outcome, reason },
+                });
+            }
+            return;
+        }
+        match (frame.kind, frame.subclass, role) {
+            _ if state == State::Closing => {}
+            (Kind::Voice, ..) => {
+                let voice = line.leg.voice_of_full(frame);
+                self.relay(now, number, voice, out);
+            }
+            (Kind::Iax, iax::ACCEPT, Role::Node(_)) => {
+                if let Some(format) = Elements::read(&frame.payload).ok().and_then(|e| e.format) {
+                    line.format = format;
+                }
+            }
+            (Kind::Iax, iax::AUTHREQ, Role::Node(conn)) => {
+                // No secrets are kept here: a node that asks for one cannot be used.
+                self.end(number, now, iax::HANGUP, &Elements::of_cause(21, "no credentials"), out);
+                let (outcome, reason) = (Outcome::Busy, Reason::None);
+                out.inputs.push(Input::Ended { conn, call, outcome, reason });
+            }
+            (Kind::Control, control::ANSWER, Role::Node(conn)) if state == State::Early => {
+                line.state = State::Up;
+                let description = Some(describe(line.format, line.format).into());
+                self.standing.insert(call, number);
+                out.inputs.push(Input::Answered { conn, call, description });
+            }
+            (Kind::Control, control::BUSY | control::CONGESTION, Role::Node(conn))
+                if state == State::Early =>
+            {
+                let code = if frame.subclass == control::BUSY { 17 } else { 34 };
+                let why = Elements::of_cause(code, "");
+                self.end(number, now, iax::HANGUP, &why, out);
+                let (outcome, reason) = end_of(&why);
+                out.inputs.push(Input::Ended { conn, call, outcome, reason });
+            }
+            (Kind::Iax, subclass, _) => {
+                let unknown = Some(subclass as u8);
+                let payload = Elements { unknown, ..Elements::default() }.write();
+                self.on_leg(number, out, |line, sent| {
+                    line.leg.send(now, Kind::Iax, iax::UNSUPPORT, payload, sent);
+                });
+            }
+            (Kind::Dtmf | Kind::Text | Kind::Noise | Kind::Image | Kind::Html | Kind::Video, ..) => {
+                if let Some(other) = self.other_leg(number) {
+                    self.on_leg(other, out, |line, sent| {
+                        line.leg.send(now, frame.kind, frame.subclass, frame.payload, sent);
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    // ---- media ----
+
+    /// The other leg of a call that stands, where both are IAX2.
+    fn other_leg(&self, number: u16) -> Option<u16> {
+        let line = self.lines.get(&number).filter(|line| line.state == State::Up)?;
+        let other = match line.role {
+            Role::Caller => self.standing.get(&line.call),
+            Role::Node(_) => self.callers.get(&line.call),
+        };
+        other.copied().filter(|other| self.lines.get(other).is_some_and(|line| line.state == State::Up))
+    }
+
+    fn relay(&mut self, now: SystemTime, number: u16, voice: Voice, out: &mut Output) {
+        if let Some(other) = self.other_leg(number) {
+            self.on_leg(other, out, |line, sent| line.leg.send_voice(now, voice, sent));
+        }
+    }
+
+    fn mini(&mut self, now: SystemTime, from: SocketAddr, mini: Mini, out: &mut Output) {
+        let Some(number) = self.by_remote.get(&(from, mini.source)).copied() else { return };
+        let voice = self.lines.get_mut(&number).and_then(|line| line.leg.voice_of_mini(mini));
+        if let Some(voice) = voice {
+            self.relay(now, number, voice, out);
+        }
+    }
+
+    // ---- the engine's words ----
+
+    /// Ends a leg from this side.
+    fn end(&mut self, number: u16, now: SystemTime, subclass: u32, why: &Elements, out: &mut Output) {
+        let payload = why.write();
+        self.on_leg(number, out, |line, sent| {
+            line.state = State::Closing;
+            line.leg.end(now, subclass, payload, sent);
+        });
+    }
+
+    /// Tells a caller.
+    pub fn to_caller(&mut self, now: SystemTime, call: CallName, word: &CallerWord, out: &mut Output) {
+        let Some(number) = self.callers.get(&call).copied() else { return };
+        let Some(state) = self.lines.get(&number).map(|line| line.state) else { return };
+        match (word, state) {
+            (_, State::Closing) | (CallerWord::Checked { .. }, _) => {}
+            (CallerWord::Answer { description }, _) => {
+                self.on_leg(number, out, |line, sent| {
+                    line.state = State::Up;
+                    let format = description.as_deref().and_then(described_format).unwrap_or(line.format);
+                    let accept = Elements { format: Some(format), ..Elements::default() };
+                    line.leg.send(now, Kind::Iax, iax::ACCEPT, accept.write(), sent);
+                    line.leg.send(now, Kind::Control, control::ANSWER, Vec::new(), sent);
+                });
+            }
+            (_, State::Up) => self.end(number, now, iax::HANGUP, &cause_of(word), out),
+            (_, State::Early) => self.end(number, now, iax::REJECT, &cause_of(word), out),
+        }
+    }
+
+    /// Tells a node.
+    pub fn to_node(
+        &mut self,
+        now: SystemTime,
+        conn: ConnId,
+        call: CallName,
+        word: &PeerWord,
+        out: &mut Output,
+    ) {
+        match word {
+            PeerWord::SetUp { class, key, description, .. } => {
+                let Some(peer) = self.nodes.get(&conn).copied() else { return };
+                let Some(number) = self.free_number() else {
+                    // No call number left: it never went out.
+                    let (outcome, reason) = (Outcome::Moot, Reason::None);
+                    out.inputs.push(Input::Ended { conn, call, outcome, reason });
+                    return;
+                };
+                let format = description.as_deref().and_then(described_format);
+                let elements = Elements {
+                    version: Some(SPOKEN),
+                    called_number: key.clone(),
+                    called_context: Some(class.clone()),
+                    capability: Some(format.unwrap_or(G711)),
+                    format: Some(format.unwrap_or(G711 & G711.wrapping_neg())),
+                    ..Elements::default()
+                };
+                let line = Line {
+                    leg: Leg::new(number, 0, now),
+                    peer,
+                    call,
+                    role: Role::Node(conn),
+                    state: State::Early,
+                    format: format.unwrap_or(G711 & G711.wrapping_neg()),
+                };
+                self.lines.insert(number, line);
+                self.node_legs.insert((call, conn), number);
+                self.on_leg(number, out, |line, sent| {
+                    line.leg.send(now, Kind::Iax, iax::NEW, elements.write(), sent);
+                });
+            }
+            PeerWord::GiveUp => self.end_node(now, conn, call, 16, out),
+            PeerWord::Release { cause } => self.end_node(now, conn, call, *cause, out),
+            // A node says nothing of its groups; that it answers pokes is all there is to test.
+            PeerWord::Test => {}
+        }
+    }
+
+    fn end_node(&mut self, now: SystemTime, conn: ConnId, call: CallName, cause: u8, out: &mut Output) {
+        let Some(number) = self.node_legs.get(&(call, conn)).copied() else { return };
+        if self.lines.get(&number).is_some_and(|line| line.state != State::Closing) {
+            self.end(number, now, iax::HANGUP, &Elements::of_cause(cause, ""), out);
+        }
+    }
+
+    /// Looks whether a node is there.
+    pub fn connect(
+        &mut self,
+        now: SystemTime,
+        conn: ConnId,
+        address: SocketAddr,
+        limit: Duration,
+        out: &mut Output,
+    ) {
+        let Some(number) = self.free_number() else {
+            out.inputs.push(Input::ConnectFailed { conn, refused: false });
+            return;
+        };
+        self.pokes.insert(number, Poke { conn, address, next: now + POKE_AGAIN, until: now + limit });
+        out.datagrams.push((address, poke_frame(number, false)));
+    }
+
+    /// A node that is gone: its legs are ended without a word, as nobody is there.
+    pub fn close(&mut self, now: SystemTime, conn: ConnId) {
+        self.nodes.remove(&conn);
+        self.pokes.retain(|_, poke| poke.conn != conn);
+        let numbers: Vec<u16> =
+            self.lines.iter().filter(|(_, l)| l.role == Role::Node(conn)).map(|(n, _)| *n).collect();
+        for number in numbers {
+            self.remove(number, now);
+        }
+    }
+}
+
+fn poke_frame(number: u16, again: bool) -> Vec<u8> {
+    let (kind, subclass, payload) = (Kind::Iax, iax::POKE, Vec::new());
+    Full { source: number, dest: 0, again, timestamp: 0, oseq: 0, iseq: 0, kind, subclass, payload }.write()
+}
+
+/// The format of a leg: the wanted one, else the first that can be taken.
+fn chosen(elements: &Elements) -> u32 {
+    let capability = elements.capability.unwrap_or(G711);
+    elements.format.filter(|format| *format != 0).unwrap_or(capability & capability.wrapping_neg())
+}
+
+/// A description of what IAX2 negotiates, for the core to pass on unchanged.
+fn describe(capability: u32, format: u32) -> String {
+    format!("a=iax2-capability:{capability:08x}\r\na=iax2-format:{format:08x}\r\n")
+}
+
+/// The format in a description of ours; `None` in anyone else's.
+fn described_format(description: &str) -> Option<u32> {
+    let line = description.lines().find_map(|line| line.strip_prefix("a=iax2-format:"))?;
+    u32::from_str_radix(line, 16).ok().filter(|format| *format != 0)
+}
+
+/// Spreads consecutive numbers over all ids (the finishing steps of splitmix64).
+fn scattered(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod config;
 pub mod decide;
 pub mod engine;
+pub mod iax2;
 pub mod interface;
+pub mod load;
 pub mod net;
 pub mod wire;
 
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,173 @@
+//! Sources of load: HAR files and access logs, read into one timed list of calls. Nothing is sent from here.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, SystemTime};
+
+use thiserror::Error;
+
+use crate::engine::CallName;
+use crate::net::jsonl::write_setup;
+
+pub mod clf;
+pub mod har;
+
+/// What is wrong with a source.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    /// It cannot be read.
+    #[error("cannot be read: {0}")]
+    Unreadable(#[from] std::io::Error),
+    /// It is no HAR file.
+    #[error("not a HAR file: {0}")]
+    NotHar(String),
+}
+
+/// One request of the recorded past, as a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    /// When it came.
+    pub at: SystemTime,
+    /// What it was for: the path asked for, without its query.
+    pub key: String,
+    /// How long it took, where the source says.
+    pub took: Option<Duration>,
+    /// Whether it was served (a status below 400).
+    pub served: bool,
+}
+
+/// Calls in the order of their times, from any number of sources.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    /// The calls.
+    pub offers: Vec<Offer>,
+    /// Lines or entries that could not be read.
+    pub skipped: usize,
+}
+
+impl Load {
+    /// Reads a source: a HAR file if it begins as JSON does, else an access log.
+    ///
+    /// # Errors
+    /// If it begins as JSON and is no HAR file.
+    pub fn read(text: &str) -> Result<Self, LoadError> {
+        let text = text.trim_start_matches('\u{feff}');
+        if text.trim_start().starts_with('{') { har::read(text) } else { Ok(clf::read(text)) }
+    }
+
+    /// Merges another source in.
+    pub fn add(&mut self, other: Self) {
+        self.skipped += other.skipped;
+        self.offers.extend(other.offers);
+        self.offers.sort_by_key(|offer| offer.at);
+    }
+
+    fn start(&self) -> Option<SystemTime> {
+        self.offers.first().map(|offer| offer.at)
+    }
+
+    /// How long after the first call this one came.
+    fn offset(&self, offer: &Offer) -> Duration {
+        self.start().and_then(|start| offer.at.duration_since(start).ok()).unwrap_or_default()
+    }
+
+    /// The figures of the whole.
+    pub fn summary(&self) -> Summary {
+        let mut seconds: BTreeMap<u64, usize> = BTreeMap::new();
+        let mut keys: BTreeMap<&str, usize> = BTreeMap::new();
+        for offer in &self.offers {
+            *seconds.entry(self.offset(offer).as_secs()).or_default() += 1;
+            *keys.entry(&offer.key).or_default() += 1;
+        }
+        let mut busiest: Vec<(String, usize)> = keys.into_iter().map(|(k, n)| (k.to_owned(), n)).collect();
+        busiest.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+        let mut took: Vec<Duration> = self.offers.iter().filter_map(|offer| offer.took).collect();
+        took.sort_unstable();
+        Summary {
+            calls: self.offers.len(),
+            skipped: self.skipped,
+            span: self.offers.last().map(|last| self.offset(last)).unwrap_or_default(),
+            peak: seconds.into_values().max().unwrap_or(0),
+            served: self.offers.iter().filter(|offer| offer.served).count(),
+            keys: busiest.len(),
+            busiest: busiest.into_iter().take(5).collect(),
+            median: took.get(took.len() / 2).copied(),
+        }
+    }
+
+    /// The calls as set-ups of the platform's JSON lines, each with the time from the first one.
+    pub fn setups<'a>(&'a self, plan: &'a Plan) -> impl Iterator<Item = (Duration, String)> + 'a {
+        self.offers.iter().enumerate().map(|(i, offer)| {
+            let hash = fnv(&offer.key);
+            let dest = plan.dest.unwrap_or_else(|| (hash % u64::from(plan.exchanges.max(1))) as u32);
+            let call = CallName::from_u64(hash.rotate_left(32) ^ (i as u64 + 1));
+            let key = format!("{hash:016x}");
+            (self.offset(offer), write_setup(call, &plan.class, plan.left, &key, dest))
+        })
+    }
+}
+
+/// How recorded requests become calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Class of every call.
+    pub class: String,
+    /// How long its caller waits.
+    pub left: Duration,
+    /// The exchange of every call; `None` to spread them by key.
+    pub dest: Option<u32>,
+    /// Exchanges to spread over.
+    pub exchanges: u32,
+}
+
+/// Figures of a load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// Calls.
+    pub calls: usize,
+    /// What could not be read.
+    pub skipped: usize,
+    /// From the first to the last.
+    pub span: Duration,
+    /// Most in one second, counted from the first.
+    pub peak: usize,
+    /// Served at the time.
+    pub served: usize,
+    /// Different keys.
+    pub keys: usize,
+    /// The five busiest.
+    pub busiest: Vec<(String, usize)>,
+    /// Median time taken, where known.
+    pub median: Option<Duration>,
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = self.span.as_secs_f64();
+        let rate = if seconds > 0.0 { self.calls as f64 / seconds } else { self.calls as f64 };
+        writeln!(f, "calls      {} ({} served, {} not readable)", self.calls, self.served, self.skipped)?;
+        writeln!(f, "span       {seconds:.3} s")?;
+        writeln!(f, "rate       {rate:.2} a second, {} in the busiest one", self.peak)?;
+        if let Some(median) = self.median {
+            writeln!(f, "took       {:.1} ms (median)", median.as_secs_f64() * 1_000.0)?;
+        }
+        writeln!(f, "keys       {}", self.keys)?;
+        for (key, count) in &self.busiest {
+            writeln!(f, "{count:>10} {key}")?;
+        }
+        Ok(())
+    }
+}
+
+/// What a request was for: its path without host and query.
+fn path_of(target: &str) -> String {
+    let path = match target.split_once("://") {
+        Some((_, rest)) => rest.find('/').map_or("/", |at| &rest[at..]),
+        None => target,
+    };
+    path.split(['?', '#']).next().unwrap_or(path).to_owned()
+}
+
+fn fnv(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,18 +1,30 @@
 //! swiftlb: a softswitch. See the README for its sub-commands.
 
 use std::error::Error;
+use std::io::Write;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 use swiftlb::config::Config;
 use swiftlb::engine::Input;
+use swiftlb::iax2::Iax2Config;
+use swiftlb::load::{Load, Plan};
 use swiftlb::net::{Message, Server};
 
 const USAGE: &str = "\
-usage: swiftlb [serve] [--config FILE]   serve calls; the file is $NODE_CONFIG if none is given
-       swiftlb check-config [FILE]       say whether a configuration can be served
-       swiftlb version                   say which version this is";
+usage: swiftlb [serve] [--config FILE] [--iax2 FILE]
+           serve calls; the files are $NODE_CONFIG and deploy/iax2.json if none is given
+       swiftlb check-config [FILE] [--iax2 FILE]
+           say whether the configuration can be served
+       swiftlb load [--setups] [--times] [--class NAME] [--left MS] [--dest N | --exchanges N] FILE ...
+           read HAR files and access logs; sum them up, or print their calls as set-ups (JSON lines)
+       swiftlb version
+           say which version this is";
+
+/// Where the IAX2 front's own file is, from the folder in which the platform starts the program.
+const IAX2_FILE: &str = "deploy/iax2.json";
 
 fn main() -> ExitCode {
     match run() {
@@ -27,10 +39,14 @@
 fn run() -> Result<(), Box<dyn Error>> {
     use lexopt::prelude::*;
     let mut parser = lexopt::Parser::from_env();
-    let (mut command, mut file) = (None, None);
+    if std::env::args_os().nth(1).is_some_and(|word| word == "load") {
+        return load(parser);
+    }
+    let (mut command, mut file, mut iax2_file) = (None, None, None);
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => file = Some(parser.value()?.string()?),
+            Long("iax2") => iax2_file = Some(parser.value()?.string()?),
             Long("help") | Short('h') => {
                 println!("{USAGE}");
                 return Ok(());
@@ -41,10 +57,14 @@
         }
     }
     match command.as_deref().unwrap_or("serve") {
-        "serve" => serve(config(file)?),
+        "serve" => serve(config(file)?, iax2(iax2_file)?),
         "check-config" => {
             let config = config(file)?;
             println!("{}: {} exchanges, {} classes", config.name, config.known.len(), config.classes.len());
+            match iax2(iax2_file)? {
+                Some(iax2) => println!("IAX2 on {}", iax2.listen),
+                None => println!("IAX2 off"),
+            }
             Ok(())
         }
         "version" => {
@@ -55,6 +75,45 @@
     }
 }
 
+/// Reads sources of load and prints them; sends nothing.
+fn load(mut parser: lexopt::Parser) -> Result<(), Box<dyn Error>> {
+    use lexopt::prelude::*;
+    let (mut files, mut setups, mut times) = (Vec::new(), false, false);
+    let mut plan =
+        Plan { class: "unit-status".to_owned(), left: Duration::from_secs(9), dest: None, exchanges: 1 };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("setups") => setups = true,
+            Long("times") => times = true,
+            Long("class") => plan.class = parser.value()?.string()?,
+            Long("left") => plan.left = Duration::from_millis(parser.value()?.parse()?),
+            Long("dest") => plan.dest = Some(parser.value()?.parse()?),
+            Long("exchanges") => plan.exchanges = parser.value()?.parse()?,
+            Value(word) => files.push(word.string()?),
+            _ => return Err(format!("{}\n{USAGE}", arg.unexpected()).into()),
+        }
+    }
+    // The first word is the command itself.
+    let mut all = Load::default();
+    for file in files.get(1..).filter(|files| !files.is_empty()).ok_or("no file to read")? {
+        let text = std::fs::read(file).map_err(|error| format!("{file}: {error}"))?;
+        let load = Load::read(&String::from_utf8_lossy(&text)).map_err(|error| format!("{file}: {error}"))?;
+        all.add(load);
+    }
+    let mut out = std::io::stdout().lock();
+    if !setups {
+        write!(out, "{}", all.summary())?;
+        return Ok(());
+    }
+    for (at, line) in all.setups(&plan) {
+        if times {
+            write!(out, "{:.3}\t", at.as_secs_f64())?;
+        }
+        writeln!(out, "{line}")?;
+    }
+    Ok(())
+}
+
 fn config(file: Option<String>) -> Result<Config, Box<dyn Error>> {
     let path = match file {
         Some(path) => path,
@@ -63,8 +122,19 @@
     Ok(Config::load(&path)?)
 }
 
-fn serve(config: Config) -> Result<(), Box<dyn Error>> {
-    let server = Server::bind(config)?;
+/// The IAX2 front's configuration. A file that is named must be there; the usual one may be missing, and the
+/// front is then off.
+fn iax2(file: Option<String>) -> Result<Option<Iax2Config>, Box<dyn Error>> {
+    let text = match file {
+        Some(path) => std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?,
+        None if std::path::Path::new(IAX2_FILE).exists() => std::fs::read_to_string(IAX2_FILE)?,
+        None => return Ok(None),
+    };
+    Ok(Iax2Config::parse(&text)?)
+}
+
+fn serve(config: Config, iax2: Option<Iax2Config>) -> Result<(), Box<dyn Error>> {
+    let server = Server::bind(config, iax2)?;
     let to_loop = server.sender();
     let mut signals = Signals::new([SIGTERM])?;
     swiftlb::net::connection::small_thread("signals", move || {
--- a/src/net/jsonl.rs
+++ b/src/net/jsonl.rs
@@ -244,6 +244,19 @@
     }
 }
 
+/// A set-up as a caller of the platform writes it, without its line feed.
+pub fn write_setup(call: CallName, class: &str, left: Duration, key: &str, dest: u32) -> String {
+    let meta = format!(
+        r#""class":{},"left":"{}","key":{},"extras":"dest:{dest};width:1;via:-1""#,
+        quoted(class),
+        whole_millis(left),
+        quoted(key)
+    );
+    let mut line = String::from_utf8(line("launch", call, &meta, None, Some(""))).unwrap_or_default();
+    line.truncate(line.trim_end().len());
+    line
+}
+
 /// A line to an exchange.
 pub fn write_exchange(call: CallName, word: &PeerWord) -> Vec<u8> {
     match word {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,9 +4,9 @@
 //! The loop takes them out one by one, runs the reducer and carries out what it asks for. It never waits for
 //! a peer: writing is left to a thread for each connection.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -16,6 +16,8 @@
 use crate::config::Config;
 use crate::decide::SettingsError;
 use crate::engine::{CallName, CallerWord, ConnId, Effect, Engine, Front, Input, LinkId};
+use crate::iax2::{Endpoint, Iax2Config, Output};
+use crate::interface::Number;
 use connection::{Ending, Outlet, small_thread};
 use jsonl::{Cut, FromCaller, FromExchange, LineError};
 
@@ -25,6 +27,8 @@
 
 /// Inputs that may wait for the reducer; readers wait beyond that.
 const WAITING: usize = 4_096;
+/// The one link of all IAX2 callers; connections count on from it.
+const HANDSETS: LinkId = 0;
 /// How long the last answers may take to be written at the end.
 const LAST_WRITES: Duration = Duration::from_millis(50);
 
@@ -57,6 +61,8 @@
     Accepted(TcpStream),
     /// A connection to an exchange is up.
     Dialled(ConnId, Arc<TcpStream>),
+    /// A datagram has come on the IAX2 socket, at this time.
+    Datagram(SocketAddr, Vec<u8>, SystemTime),
     /// A connection from callers is over.
     CallerGone(LinkId),
     /// A connection to an exchange is over.
@@ -68,19 +74,27 @@
 pub struct Server {
     config: Config,
     listener: TcpListener,
+    handsets: Option<(Iax2Config, Arc<UdpSocket>)>,
     inbox: Receiver<Message>,
     sender: Sender<Message>,
 }
 
 impl Server {
-    /// Takes the address on which callers connect.
+    /// Takes the addresses on which callers connect; IAX2 is off without a configuration of its own.
     ///
     /// # Errors
-    /// If it cannot be had.
-    pub fn bind(config: Config) -> Result<Self, ServeError> {
+    /// If one cannot be had.
+    pub fn bind(config: Config, iax2: Option<Iax2Config>) -> Result<Self, ServeError> {
         let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
+        let handsets = match iax2 {
+            Some(iax2) => {
+                let socket = UdpSocket::bind(iax2.listen).map_err(system("listen for IAX2"))?;
+                Some((iax2, Arc::new(socket)))
+            }
+            None => None,
+        };
         let (sender, inbox) = bounded(WAITING);
-        Ok(Self { config, listener, inbox, sender })
+        Ok(Self { config, listener, handsets, inbox, sender })
     }
 
     /// Where it listens.
@@ -91,6 +105,11 @@
         self.listener.local_addr()
     }
 
+    /// Where IAX2 callers reach it; `None` where that front is off.
+    pub fn handset_address(&self) -> Option<SocketAddr> {
+        self.handsets.as_ref().and_then(|(_, socket)| socket.local_addr().ok())
+    }
+
     /// A way to hand inputs in from outside, such as the order to stop.
     pub fn sender(&self) -> Sender<Message> {
         self.sender.clone()
@@ -101,23 +120,22 @@
     /// # Errors
     /// If something that it cannot do without is not to be had.
     pub fn run(self) -> Result<(), ServeError> {
-        let Self { config, listener, inbox, sender } = self;
+        let Self { config, listener, handsets, inbox, sender } = self;
         let to_loop = sender.clone();
         small_thread("accept", move || accept(&listener, &to_loop)).map_err(system("accept thread"))?;
-        let (names, serial, zones) = (config.names, config.serial, config.zones.clone());
-        let to_loop = sender.clone();
-        let follow = move || {
-            let news = |list| to_loop.send(Message::Input(Input::List(list))).is_ok();
-            if let Err(error) = dns::follow(names, serial, &zones, news) {
-                eprintln!("swiftlb: resolver: {error}");
+        follow_resolver(&config, &sender)?;
+        let mut inputs = VecDeque::new();
+        let handsets = match handsets {
+            Some((iax2, socket)) => {
+                let (reader, to_loop) = (socket.clone(), sender.clone());
+                small_thread("iax2", move || read_datagrams(&reader, &to_loop))
+                    .map_err(system("IAX2 thread"))?;
+                inputs.push_back(Input::LinkUp { link: HANDSETS, front: Front::Handsets });
+                let endpoint = Endpoint::new(iax2.clone(), HANDSETS, config.seed);
+                Some(Handsets { iax2, endpoint, socket })
             }
+            None => None,
         };
-        // The message parser of the resolver keeps its work on the stack; it gets a roomier one.
-        std::thread::Builder::new()
-            .name("resolver".to_owned())
-            .stack_size(4 * connection::STACK)
-            .spawn(follow)
-            .map_err(system("resolver thread"))?;
         let mut effects = Vec::new();
         let mut engine = Engine::new(&config, SystemTime::now(), &mut effects)?;
         let mut driver = Driver {
@@ -128,34 +146,68 @@
             sender,
             links: HashMap::new(),
             conns: HashMap::new(),
-            last_link: 0,
+            handsets,
+            last_link: HANDSETS,
+            inputs,
             done: false,
         };
         loop {
             for effect in effects.drain(..) {
                 driver.perform(effect);
             }
+            while let Some(input) = driver.inputs.pop_front() {
+                engine.handle(SystemTime::now(), input, &mut effects);
+                for effect in effects.drain(..) {
+                    driver.perform(effect);
+                }
+            }
             if driver.done {
                 drop(driver);
                 std::thread::sleep(LAST_WRITES);
                 return Ok(());
             }
-            let message = match engine.next_wake() {
+            let message = match engine.next_wake().into_iter().chain(driver.next_wake()).min() {
                 None => inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
                 Some(at) => inbox.recv_timeout(at.duration_since(SystemTime::now()).unwrap_or_default()),
             };
-            let input = match message {
+            match message {
                 Ok(message) => driver.admit(message),
-                Err(RecvTimeoutError::Timeout) => Some(Input::Wake),
+                Err(RecvTimeoutError::Timeout) => {
+                    driver.wake();
+                    driver.inputs.push_back(Input::Wake);
+                }
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
-            };
-            if let Some(input) = input {
-                engine.handle(SystemTime::now(), input, &mut effects);
             }
         }
     }
 }
 
+/// Starts the thread that follows the list of exchanges.
+fn follow_resolver(config: &Config, sender: &Sender<Message>) -> Result<(), ServeError> {
+    let (names, serial, zones, to_loop) = (config.names, config.serial, config.zones.clone(), sender.clone());
+    let follow = move || {
+        let news = |list| to_loop.send(Message::Input(Input::List(list))).is_ok();
+        if let Err(error) = dns::follow(names, serial, &zones, news) {
+            eprintln!("swiftlb: resolver: {error}");
+        }
+    };
+    // The message parser of the resolver keeps its work on the stack; it gets a roomier one.
+    let builder = std::thread::Builder::new().name("resolver".to_owned()).stack_size(4 * connection::STACK);
+    builder.spawn(follow).map(drop).map_err(system("resolver thread"))
+}
+
+fn read_datagrams(socket: &UdpSocket, to_loop: &Sender<Message>) {
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        // An error is the echo of a datagram that a dead peer refused; the leg's own time-out sees to it.
+        let Ok((length, from)) = socket.recv_from(&mut buffer) else { continue };
+        let message = Message::Datagram(from, buffer[..length].to_vec(), SystemTime::now());
+        if to_loop.send(message).is_err() {
+            return;
+        }
+    }
+}
+
 fn accept(listener: &TcpListener, to_loop: &Sender<Message>) {
     loop {
         match listener.accept() {
@@ -174,6 +226,13 @@
     }
 }
 
+/// The IAX2 side: one socket and the legs on it.
+struct Handsets {
+    iax2: Iax2Config,
+    endpoint: Endpoint,
+    socket: Arc<UdpSocket>,
+}
+
 /// Owns every connection, and carries out what the reducer asks for.
 struct Driver {
     report: Arc<[String]>,
@@ -182,14 +241,17 @@
     sender: Sender<Message>,
     links: HashMap<LinkId, Outlet>,
     conns: HashMap<ConnId, Outlet>,
+    handsets: Option<Handsets>,
     last_link: LinkId,
+    /// What the reducer is to be told next.
+    inputs: VecDeque<Input>,
     done: bool,
 }
 
 impl Driver {
-    /// What a message means to the reducer, after the books of connections are kept.
-    fn admit(&mut self, message: Message) -> Option<Input> {
-        match message {
+    /// Keeps the books of connections and queues what a message means to the reducer.
+    fn admit(&mut self, message: Message) {
+        let input = match message {
             Message::Input(input) => Some(input),
             Message::Accepted(stream) => self.accepted(stream),
             Message::Dialled(conn, stream) => match connection::outlet(stream) {
@@ -199,6 +261,10 @@
                 }
                 Err(_) => Some(Input::ConnectFailed { conn, refused: false }),
             },
+            Message::Datagram(from, bytes, received) => {
+                self.on_handsets(|h, out| h.endpoint.receive(received, from, &bytes, out));
+                None
+            }
             Message::CallerGone(link) => {
                 self.links.remove(&link);
                 Some(Input::LinkDown { link })
@@ -207,7 +273,34 @@
                 self.conns.remove(&conn);
                 Some(Input::ConnectionLost { conn, reset: ending == Ending::Reset })
             }
+        };
+        self.inputs.extend(input);
+    }
+
+    /// When the legs of the IAX2 side want to be woken.
+    fn next_wake(&self) -> Option<SystemTime> {
+        self.handsets.as_ref().and_then(|h| h.endpoint.next_wake())
+    }
+
+    fn wake(&mut self) {
+        self.on_handsets(|h, out| h.endpoint.wake(SystemTime::now(), out));
+    }
+
+    /// Works on the IAX2 side, sends its datagrams and queues what it has for the reducer.
+    fn on_handsets(&mut self, work: impl FnOnce(&mut Handsets, &mut Output)) {
+        let Some(handsets) = &mut self.handsets else { return };
+        let mut out = Output::default();
+        work(handsets, &mut out);
+        for (to, bytes) in out.datagrams {
+            // A datagram that cannot be sent is a lost one: the leg repeats it.
+            let _ = handsets.socket.send_to(&bytes, to);
         }
+        self.inputs.extend(out.inputs);
+    }
+
+    /// Whether a way to an exchange goes over IAX2.
+    fn speaks_iax2(&self, number: Number) -> bool {
+        self.handsets.as_ref().is_some_and(|h| h.iax2.speaks(number))
     }
 
     fn accepted(&mut self, stream: TcpStream) -> Option<Input> {
@@ -228,18 +321,25 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
+            Effect::ToCaller { link: HANDSETS, call, word } => {
+                self.on_handsets(|h, out| h.endpoint.to_caller(SystemTime::now(), call, &word, out));
+            }
             Effect::ToCaller { link, call, word } => self.to_caller(link, call, &word),
-            Effect::ToExchange { conn, call, word } => {
-                if let Some(outlet) = self.conns.get(&conn) {
-                    outlet.send(jsonl::write_exchange(call, &word));
+            Effect::ToExchange { conn, call, word } => match self.conns.get(&conn) {
+                Some(outlet) => outlet.send(jsonl::write_exchange(call, &word)),
+                None => {
+                    self.on_handsets(|h, out| h.endpoint.to_node(SystemTime::now(), conn, call, &word, out));
                 }
+            },
+            Effect::Connect { conn, number, address, .. } if self.speaks_iax2(number) => {
+                let limit = self.connect_timeout;
+                self.on_handsets(|h, out| h.endpoint.connect(SystemTime::now(), conn, address, limit, out));
             }
             Effect::Connect { conn, address, .. } => self.dial(conn, address),
-            Effect::Close { conn } => {
-                if let Some(outlet) = self.conns.remove(&conn) {
-                    outlet.cut();
-                }
-            }
+            Effect::Close { conn } => match self.conns.remove(&conn) {
+                Some(outlet) => outlet.cut(),
+                None => self.on_handsets(|h, _| h.endpoint.close(SystemTime::now(), conn)),
+            },
             Effect::Trace(text) => eprintln!("swiftlb: {text}"),
             Effect::Exit => self.done = true,
         }
--- /dev/null
+++ b/tests/common/peers.rs
@@ -0,0 +1,315 @@
+//! Stand-ins on loopback: a softswitch under test, exchanges and callers of both fronts.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::Sender;
+use swiftlb::config::{Config, parse_json};
+use swiftlb::engine::Input;
+use swiftlb::iax2::Iax2Config;
+use swiftlb::iax2::element::Elements;
+use swiftlb::iax2::frame::{Frame, Full, Kind, Mini, iax, read};
+use swiftlb::net::{Message, Server};
+use tinyjson::JsonValue;
+
+use crate::desk::config_text;
+
+/// Nothing that is waited for takes this long; a test that gets there has failed.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// A running softswitch; it ends with the test.
+pub struct Switch {
+    pub address: SocketAddr,
+    pub handsets: Option<SocketAddr>,
+    pub to_loop: Sender<Message>,
+    pub thread: Option<std::thread::JoinHandle<bool>>,
+    _resolver: UdpSocket,
+}
+
+impl Switch {
+    /// One whose exchanges 1, 2 ... are at these addresses; those in `nodes` speak IAX2.
+    pub fn start(exchanges: &[SocketAddr], nodes: &[u32]) -> Self {
+        let resolver = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let names = resolver.local_addr().expect("an address").to_string();
+        // The own exchange is never dialled; its address only has to be one.
+        let all: Vec<String> = std::iter::once("127.0.0.1:9".to_owned())
+            .chain(exchanges.iter().map(|a| a.to_string()))
+            .collect();
+        let config = Config::parse(&config_text("127.0.0.1:0", &names, &all)).expect("a configuration");
+        let iax2 = format!(
+            r#"{{"enabled":true,"listen":"127.0.0.1:0","nodes":{nodes:?},"contexts":[
+            {{"context":"service","class":"lookup","numbers":[{{"prefix":"1","exchange":1}},{{"prefix":"2","exchange":2}}]}}]}}"#
+        );
+        let iax2 = Iax2Config::parse(&iax2).expect("an IAX2 configuration");
+        let server = Server::bind(config, iax2).expect("ports on loopback");
+        let (address, handsets) = (server.address().expect("an address"), server.handset_address());
+        let to_loop = server.sender();
+        let thread = Some(std::thread::spawn(move || server.run().is_ok()));
+        Self { address, handsets, to_loop, thread, _resolver: resolver }
+    }
+
+    /// Tells it to stop and waits until it has.
+    pub fn drain(&mut self) -> bool {
+        self.to_loop.send(Message::Input(Input::Drain)).expect("it runs");
+        self.thread.take().expect("it ran").join().expect("it did not panic")
+    }
+}
+
+/// One end of a connection that speaks JSON lines.
+pub struct Lines {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Lines {
+    pub fn over(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a descriptor"));
+        Self { stream, reader }
+    }
+
+    pub fn connect(to: SocketAddr) -> Self {
+        Self::over(TcpStream::connect(to).expect("it listens"))
+    }
+
+    pub fn send(&mut self, line: &str) {
+        self.stream.write_all(line.as_bytes()).expect("it reads");
+        self.stream.write_all(b"\n").expect("it reads");
+    }
+
+    /// The next line; `None` at the end of the connection.
+    pub fn next(&mut self) -> Option<Said> {
+        let mut line = String::new();
+        let length = self.reader.read_line(&mut line).expect("a line in time");
+        (length > 0).then(|| Said(parse_json(&line).expect("JSON")))
+    }
+
+    pub fn expect(&mut self, kind: &str, call: &str) -> Said {
+        let said = self.next().expect("a line");
+        assert_eq!((said.text("kind").as_str(), said.text("uid").as_str()), (kind, call), "{said:?}");
+        said
+    }
+
+    /// Passes a test, which shows that nothing else was on its way here before.
+    pub fn quiet(&mut self) {
+        self.send(r#"{"kind":"check","uid":"00000000000000ff","meta":{},"reason":0}"#);
+        self.expect("checked", "00000000000000ff");
+    }
+
+    /// At an exchange: nothing has come that is not read yet.
+    pub fn quiet_exchange(&mut self) {
+        self.stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+        let mut line = String::new();
+        let read = self.reader.read_line(&mut line);
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        assert!(read.is_err(), "unexpected: {line}");
+    }
+
+    /// Breaks the connection as a dying process does.
+    pub fn reset(self) {
+        // Closing with bytes unread makes the system send a reset.
+        drop(self);
+    }
+}
+
+/// A JSON line.
+#[derive(Debug)]
+pub struct Said(pub JsonValue);
+
+impl Said {
+    fn field(&self, path: &str) -> Option<&JsonValue> {
+        path.split('.').try_fold(&self.0, |value, key| {
+            value.get::<std::collections::HashMap<String, JsonValue>>()?.get(key)
+        })
+    }
+
+    pub fn text(&self, path: &str) -> String {
+        self.field(path).and_then(|v| v.get::<String>()).cloned().unwrap_or_default()
+    }
+
+    pub fn cause(&self) -> f64 {
+        self.field("reason").and_then(|v| v.get::<f64>()).copied().unwrap_or(-1.0)
+    }
+}
+
+/// An exchange that speaks JSON lines.
+pub struct Exchange {
+    listener: TcpListener,
+}
+
+impl Exchange {
+    pub fn new() -> Self {
+        Self { listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    pub fn accept(&self) -> Lines {
+        Lines::over(self.listener.accept().expect("a connection").0)
+    }
+}
+
+/// A set-up as callers of the platform write it.
+pub fn launch(call: &str, dest: u32, left: u32) -> String {
+    format!(
+        r#"{{"kind":"launch","uid":"{call}","meta":{{"class":"status","left":"{left}","key":"7F3a","extras":"dest:{dest};width:1;via:-1"}},"body":"v=0\r\n\u00fc \"q\" \ud83d\ude00"}}"#
+    )
+}
+
+/// One leg of an IAX2 peer, caller or node, with numbering and acknowledgements of its own.
+pub struct Phone {
+    pub socket: UdpSocket,
+    pub peer: Option<SocketAddr>,
+    pub local: u16,
+    pub remote: u16,
+    pub oseq: u8,
+    pub iseq: u8,
+    /// Frames that came again.
+    pub repeated: usize,
+}
+
+impl Phone {
+    pub fn new(local: u16) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Self { socket, peer: None, local, remote: 0, oseq: 0, iseq: 0, repeated: 0 }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.socket.local_addr().expect("an address")
+    }
+
+    /// Calls a number; the frame is given back so that it can be sent again.
+    pub fn call(&mut self, to: SocketAddr, number: &str) -> Full {
+        self.peer = Some(to);
+        let elements = Elements {
+            version: Some(2),
+            called_number: Some(number.to_owned()),
+            called_context: Some("service".to_owned()),
+            capability: Some(4),
+            format: Some(4),
+            ..Elements::default()
+        };
+        self.send(Kind::Iax, iax::NEW, elements.write())
+    }
+
+    pub fn send(&mut self, kind: Kind, subclass: u32, payload: Vec<u8>) -> Full {
+        let (source, dest, oseq, iseq) = (self.local, self.remote, self.oseq, self.iseq);
+        let timestamp = 10 + 20 * u32::from(oseq);
+        let frame = Full { source, dest, again: false, timestamp, oseq, iseq, kind, subclass, payload };
+        self.oseq = self.oseq.wrapping_add(1);
+        self.put(&frame);
+        frame
+    }
+
+    pub fn put(&self, frame: &Full) {
+        self.socket.send_to(&frame.write(), self.peer.expect("a peer")).expect("sent");
+    }
+
+    fn report(&self, subclass: u32, timestamp: u32) {
+        let (source, dest, oseq, iseq) = (self.local, self.remote, self.oseq, self.iseq);
+        let (kind, payload) = (Kind::Iax, Vec::new());
+        self.put(&Full { source, dest, again: false, timestamp, oseq, iseq, kind, subclass, payload });
+    }
+
+    /// The next datagram, whatever it is and unanswered.
+    pub fn raw(&mut self) -> Frame {
+        let mut bytes = [0; 2_048];
+        let (length, from) = self.socket.recv_from(&mut bytes).expect("a datagram in time");
+        self.peer = Some(from);
+        read(&bytes[..length]).expect("a frame")
+    }
+
+    /// The next new frame in order, acknowledged; a poke is answered on the way.
+    pub fn next(&mut self) -> Full {
+        loop {
+            let Frame::Full(frame) = self.raw() else { continue };
+            if frame.is(iax::POKE) {
+                let (source, dest) = (1, frame.source);
+                let pong = Full { source, dest, iseq: 1, subclass: iax::PONG, ..frame };
+                self.put(&pong);
+                continue;
+            }
+            // An acknowledgement of the pong, under the number that pongs have.
+            if !frame.counts() || frame.dest == 1 {
+                continue;
+            }
+            if frame.oseq != self.iseq {
+                self.repeated += 1;
+                self.report(iax::ACK, frame.timestamp);
+                continue;
+            }
+            self.iseq = self.iseq.wrapping_add(1);
+            self.remote = frame.source;
+            self.report(iax::ACK, frame.timestamp);
+            return frame;
+        }
+    }
+
+    /// The next new frame, which is this message.
+    pub fn expect(&mut self, kind: Kind, subclass: u32) -> Elements {
+        let frame = self.next();
+        assert_eq!((frame.kind, frame.subclass), (kind, subclass), "{frame:?}");
+        if kind == Kind::Iax {
+            Elements::read(&frame.payload).expect("elements")
+        } else {
+            Elements::default()
+        }
+    }
+
+    /// A node's reply that the call stands.
+    pub fn answer(&mut self) {
+        let accept = Elements { format: Some(4), ..Elements::default() };
+        self.send(Kind::Iax, iax::ACCEPT, accept.write());
+        self.send(Kind::Control, swiftlb::iax2::frame::control::ANSWER, Vec::new());
+    }
+
+    pub fn hang_up(&mut self, cause: u8) -> Full {
+        self.send(Kind::Iax, iax::HANGUP, Elements::of_cause(cause, "").write())
+    }
+
+    /// The next mini frame.
+    pub fn mini(&mut self) -> Mini {
+        loop {
+            if let Frame::Mini(mini) = self.raw() {
+                return mini;
+            }
+        }
+    }
+
+    /// Pokes the softswitch and takes what comes before its answer: all that was on its way here.
+    pub fn before_pong(&mut self) -> Vec<Full> {
+        let (source, kind, subclass) = (99, Kind::Iax, iax::POKE);
+        let poke = Full {
+            source,
+            dest: 0,
+            again: false,
+            timestamp: 0,
+            oseq: 0,
+            iseq: 0,
+            kind,
+            subclass,
+            payload: vec![],
+        };
+        self.put(&poke);
+        let mut seen = Vec::new();
+        loop {
+            match self.raw() {
+                Frame::Full(frame) if frame.is(iax::PONG) && frame.dest == 99 => return seen,
+                Frame::Full(frame) => seen.push(frame),
+                Frame::Mini(_) => {}
+            }
+        }
+    }
+}
+
+/// How long something takes.
+pub fn timed<T>(work: impl FnOnce() -> T) -> (T, Duration) {
+    let start = Instant::now();
+    let done = work();
+    (done, start.elapsed())
+}
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,68 @@
+//! Readers of recorded load: HAR files and access logs.
+
+use std::time::Duration;
+
+use swiftlb::load::{Load, Plan};
+use swiftlb::net::jsonl::{FromCaller, read_caller};
+
+const HAR: &str = r#"{"log":{"version":"1.2","entries":[
+    {"startedDateTime":"2026-07-01T12:00:02.500+02:00","time":40,"request":{"method":"GET","url":"https://h/units/7?x=1"},"response":{"status":200}},
+    {"startedDateTime":"2026-07-01T10:00:00Z","time":20.5,"request":{"method":"GET","url":"https://h/units/7#top"},"response":{"status":503}},
+    {"startedDateTime":"2026-07-01T10:00:00.9Z","time":-1,"request":{"method":"GET","url":"https://h"},"response":{"status":0}},
+    {"startedDateTime":"yesterday","request":{"url":"https://h/"}}]}}"#;
+
+const LOG: &str = r#"10.0.0.1 - anna [01/Jul/2026:10:00:01 +0000] "GET /parts/3?q=1 HTTP/1.1" 200 512
+10.0.0.2 - - [01/Jul/2026:12:00:03 +0200] "POST /a\"b HTTP/1.1" 404 - "https://h/" "agent \"x\""
+
+not a line
+10.0.0.2 - - [01/Jul/2026:12:00:03 +0200] "-" 408 0"#;
+
+#[test]
+fn both_formats_become_one_list_in_the_order_of_their_times() {
+    let mut load = Load::read(HAR).expect("a HAR file");
+    assert_eq!((load.offers.len(), load.skipped), (3, 1));
+    load.add(Load::read(LOG).expect("a log"));
+    let keys: Vec<&str> = load.offers.iter().map(|offer| offer.key.as_str()).collect();
+    assert_eq!(keys, ["/units/7", "/", "/parts/3", "/units/7", "/a\\\"b"]);
+    let served: Vec<bool> = load.offers.iter().map(|offer| offer.served).collect();
+    assert_eq!(served, [false, false, true, true, false]);
+    let summary = load.summary();
+    assert_eq!((summary.calls, summary.skipped, summary.served, summary.keys), (5, 3, 2, 4));
+    assert_eq!((summary.span, summary.peak), (Duration::from_secs(3), 2));
+    assert_eq!(summary.median, Some(Duration::from_millis(40)));
+    assert_eq!(summary.busiest[0], ("/units/7".to_owned(), 2));
+    assert!(summary.to_string().contains("1.67 a second, 2 in the busiest one"), "{summary}");
+}
+
+#[test]
+fn calls_are_printed_as_set_ups_that_the_front_reads() {
+    let load = Load::read(HAR).expect("a HAR file");
+    let left = Duration::from_secs(9);
+    let plan = Plan { class: "unit-status".to_owned(), left, dest: None, exchanges: 3 };
+    let mut seen = Vec::new();
+    for (at, line) in load.setups(&plan) {
+        let read = read_caller(line.as_bytes(), std::time::UNIX_EPOCH);
+        let Ok(FromCaller::SetUp(call, setup)) = read else { panic!("{line}") };
+        assert_eq!((setup.class.as_str(), setup.left), ("unit-status", Some(left)));
+        assert!(setup.dest < 3);
+        seen.push((at.as_millis(), setup.key, setup.dest, call));
+    }
+    assert_eq!(seen.iter().map(|s| s.0).collect::<Vec<_>>(), [0, 900, 2_500]);
+    assert_eq!((&seen[0].1, seen[0].2), (&seen[2].1, seen[2].2), "one path is one number");
+    assert_ne!(seen[0].3, seen[2].3, "every set-up has an id of its own");
+    let fixed = Plan { dest: Some(2), ..plan };
+    assert!(load.setups(&fixed).all(|(_, line)| line.contains("dest:2;")));
+}
+
+#[test]
+fn what_is_no_har_file_is_an_error_and_garbage_is_counted() {
+    assert!(Load::read("{\"log\":{}}").is_err());
+    assert!(Load::read("{\"log\":").is_err());
+    assert_eq!(Load::read("a\n[b\n[c] \"d").expect("a log").skipped, 3);
+    let whole = LOG.lines().next().expect("a line");
+    for end in 1..whole.len() - 8 {
+        let load = Load::read(&whole[..end]).expect("a log");
+        assert_eq!((load.offers.len(), load.skipped), (0, 1), "{end}");
+    }
+    assert_eq!(Load::read("").expect("an empty log"), Load::default());
+}
--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,366 @@
+//! The whole program on loopback sockets, between stand-ins of both fronts: the same rules on either.
+
+#[path = "common/desk.rs"]
+mod desk;
+#[path = "common/peers.rs"]
+mod peers;
+
+use std::time::Duration;
+
+use peers::{Exchange, Lines, Phone, Switch, launch, timed};
+use swiftlb::iax2::element::Elements;
+use swiftlb::iax2::frame::{Full, Kind, Mini, control, iax};
+
+const CALL: &str = "9b1f03aa5c7e2d41";
+/// The release pause that the configuration asks for.
+const PAUSE: Duration = Duration::from_millis(500);
+
+fn stop(call: &str, cause: u32, meta: &str) -> String {
+    format!(r#"{{"kind":"stop","uid":"{call}","meta":{{{meta}}},"reason":{cause}}}"#)
+}
+
+fn running(call: &str) -> String {
+    format!(r#"{{"kind":"running","uid":"{call}","meta":{{}},"body":"ok\r\n"}}"#)
+}
+
+/// Two exchanges that speak JSON lines, connected.
+fn two_exchanges() -> (Switch, [Lines; 2]) {
+    let exchanges = [Exchange::new(), Exchange::new()];
+    let switch = Switch::start(&exchanges.each_ref().map(Exchange::address), &[]);
+    let lines = exchanges.map(|exchange| exchange.accept());
+    (switch, lines)
+}
+
+/// Whichever of the two is sent the next set-up gets it first.
+fn pass_on(lines: [Lines; 2], first: usize) -> (Lines, Lines) {
+    let [one, two] = lines;
+    if first == 0 { (one, two) } else { (two, one) }
+}
+
+#[test]
+fn a_call_goes_from_json_lines_to_json_lines_with_its_fields_unchanged() {
+    let (switch, lines) = two_exchanges();
+    let (mut one, _two) = pass_on(lines, 0);
+    let mut caller = Lines::connect(switch.address);
+    caller.send(r#"{"kind":"check","uid":"0000000000000001","meta":{},"reason":0}"#);
+    assert_eq!(caller.expect("checked", "0000000000000001").cause(), 1.0);
+    caller.send(&launch(CALL, 1, 1_500));
+    let setup = one.expect("launch", CALL);
+    assert_eq!((setup.text("meta.class").as_str(), setup.text("meta.key").as_str()), ("status", "7F3a"));
+    assert_eq!(setup.text("body"), "v=0\r\n\u{fc} \"q\" \u{1f600}");
+    let left: u32 = setup.text("meta.left").parse().expect("milliseconds");
+    assert!((1_300..=1_500).contains(&left), "{left}");
+    one.send(&running(CALL));
+    assert_eq!(caller.expect("running", CALL).text("body"), "ok\r\n");
+    // Its end comes while the caller's connection is gone: it waits for the next one.
+    drop(caller);
+    one.send(&stop(CALL, 16, ""));
+    let mut caller = Lines::connect(switch.address);
+    assert_eq!(caller.expect("stop", CALL).cause(), 16.0);
+    caller.quiet();
+}
+
+#[test]
+fn what_cannot_be_read_is_answered_where_it_names_a_call_and_never_ends_the_program() {
+    let (switch, lines) = two_exchanges();
+    let (mut one, _two) = pass_on(lines, 0);
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&format!(r#"{{"kind":"launch","uid":"{CALL}","meta":{{"class":"status"}}}}"#));
+    assert_eq!(caller.expect("stop", CALL).cause(), 41.0);
+    let long = "x".repeat(17 * 1024);
+    caller.send(&format!(r#"{{"kind":"launch","uid":"00000000000000aa","body":"{long}"}}"#));
+    assert_eq!(caller.expect("stop", "00000000000000aa").cause(), 41.0);
+    caller.quiet();
+    for garbage in [long.as_str(), "{}", "\u{1}", &"[".repeat(9_000)] {
+        let mut other = Lines::connect(switch.address);
+        other.send(garbage);
+        assert!(other.next().is_none(), "the connection stays open after garbage");
+    }
+    caller.send(&launch(CALL, 1, 1_500));
+    one.expect("launch", CALL);
+}
+
+#[test]
+fn an_order_to_stop_leaves_nothing_unanswered() {
+    let (mut switch, lines) = two_exchanges();
+    let (mut one, _two) = pass_on(lines, 0);
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 3_000));
+    one.expect("launch", CALL);
+    let answer = std::thread::spawn(move || {
+        one.expect("launch", "00000000000000bb");
+        one.send(&running("00000000000000bb"));
+        std::thread::sleep(Duration::from_millis(900));
+        one.send(&running(CALL));
+    });
+    switch.to_loop.send(swiftlb::net::Message::Input(swiftlb::engine::Input::Drain)).expect("it runs");
+    // What comes on a new connection after the order is still served.
+    let mut late = Lines::connect(switch.address);
+    late.send(&launch("00000000000000bb", 1, 3_000));
+    late.expect("running", "00000000000000bb");
+    caller.expect("running", CALL);
+    answer.join().expect("the exchange saw what it should");
+    assert!(switch.drain());
+}
+
+#[test]
+fn an_exchange_that_dies_cuts_what_stands_there_and_resets_what_waits() {
+    let (switch, lines) = two_exchanges();
+    let (mut one, _two) = pass_on(lines, 0);
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 3_000));
+    one.expect("launch", CALL);
+    one.send(&running(CALL));
+    caller.expect("running", CALL);
+    // Bytes that nobody read make the system reset the connection.
+    caller.send(&launch("00000000000000cc", 1, 400));
+    caller.quiet();
+    one.reset();
+    assert_eq!(caller.expect("stop", CALL).cause(), 41.0);
+    assert_ne!(caller.expect("stop", "00000000000000cc").cause(), 16.0);
+}
+
+/// The same script for a caller of either front: the first attempt is reset, the second one answered.
+fn reset_then_answer(lines: &mut [Lines; 2]) -> String {
+    let call = lines[0].next().expect("a set-up").text("uid");
+    lines[0].send(&stop(&call, 41, ""));
+    let (_, waited) = timed(|| lines[1].expect("launch", &call));
+    assert!(waited >= PAUSE, "{waited:?}");
+    lines[1].send(&running(&call));
+    call
+}
+
+#[test]
+fn the_release_pause_is_kept_for_a_caller_on_json_lines() {
+    let (switch, mut lines) = two_exchanges();
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 2_500));
+    assert_eq!(reset_then_answer(&mut lines), CALL);
+    caller.expect("running", CALL);
+    // One attempt at a time and one outcome: nothing more was said to anyone.
+    caller.quiet();
+    lines[0].quiet_exchange();
+}
+
+#[test]
+fn the_release_pause_is_kept_for_an_iax2_caller() {
+    let (switch, mut lines) = two_exchanges();
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "17");
+    reset_then_answer(&mut lines);
+    phone.expect(Kind::Iax, iax::ACCEPT);
+    phone.expect(Kind::Control, control::ANSWER);
+    assert!(phone.before_pong().iter().all(|frame| !frame.counts()));
+    lines[0].quiet_exchange();
+}
+
+#[test]
+fn a_route_enters_by_iax2_and_leaves_by_json_lines() {
+    let (switch, lines) = two_exchanges();
+    let (mut one, _two) = pass_on(lines, 0);
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "1700");
+    let setup = one.next().expect("a set-up");
+    let call = setup.text("uid");
+    // No caller's time on this wire: the class's deadline holds.
+    let left: u32 = setup.text("meta.left").parse().expect("milliseconds");
+    assert!((1_700..=2_000).contains(&left), "{left}");
+    assert_eq!((setup.text("meta.class").as_str(), setup.text("meta.key").as_str()), ("lookup", "1700"));
+    one.send(&running(&call));
+    phone.expect(Kind::Iax, iax::ACCEPT);
+    phone.expect(Kind::Control, control::ANSWER);
+    one.send(&stop(&call, 41, ""));
+    assert_eq!(phone.expect(Kind::Iax, iax::HANGUP).cause_code, Some(41));
+    assert!(phone.before_pong().iter().all(|frame| !frame.counts()), "more than one final outcome");
+}
+
+#[test]
+fn a_refusal_reaches_an_iax2_caller_with_its_cause_and_advice() {
+    let (switch, lines) = two_exchanges();
+    let (mut one, mut two) = pass_on(lines, 0);
+    let mut busy = Phone::new(21);
+    busy.call(switch.handsets.expect("it is on"), "11");
+    let call = one.next().expect("a set-up").text("uid");
+    one.send(&stop(&call, 17, r#""note":"user_busy""#));
+    assert_eq!(busy.expect(Kind::Iax, iax::REJECT).cause_code, Some(17));
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "1");
+    let call = one.next().expect("a set-up").text("uid");
+    one.send(&stop(&call, 34, r#""note":"group_full""#));
+    two.expect("launch", &call);
+    two.send(&stop(&call, 34, r#""note":"group_full""#));
+    let why = phone.expect(Kind::Iax, iax::REJECT);
+    assert_eq!((why.cause_code, why.cause.as_deref()), (Some(34), Some("retry after 300 ms")));
+    let mut lost = Phone::new(22);
+    lost.call(switch.handsets.expect("it is on"), "900");
+    assert_eq!(lost.expect(Kind::Iax, iax::REJECT).cause_code, Some(1));
+}
+
+/// A softswitch whose exchange 1 is an IAX2 node, and exchange 2 speaks JSON lines.
+fn node_and_exchange() -> (Switch, Phone, Lines) {
+    let (node, exchange) = (Phone::new(700), Exchange::new());
+    let switch = Switch::start(&[node.address(), exchange.address()], &[1]);
+    let lines = exchange.accept();
+    (switch, node, lines)
+}
+
+#[test]
+fn a_route_enters_by_json_lines_and_leaves_by_iax2() {
+    let (switch, mut node, _lines) = node_and_exchange();
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 2_500));
+    let setup = node.expect(Kind::Iax, iax::NEW);
+    assert_eq!((setup.called_number.as_deref(), setup.version), (Some("7F3a"), Some(2)));
+    node.answer();
+    let answer = caller.expect("running", CALL);
+    assert!(answer.text("body").contains("a=iax2-format:00000004"), "{answer:?}");
+    caller.send(&stop(CALL, 16, ""));
+    assert_eq!(node.expect(Kind::Iax, iax::HANGUP).cause_code, Some(16));
+    caller.quiet();
+}
+
+#[test]
+fn a_node_without_a_circuit_sends_a_call_elsewhere_and_a_full_one_ends_it_at_once() {
+    let (switch, mut node, mut two) = node_and_exchange();
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 2_500));
+    node.expect(Kind::Iax, iax::NEW);
+    node.send(Kind::Iax, iax::REJECT, Elements::of_cause(34, "").write());
+    two.expect("launch", CALL);
+    two.send(&running(CALL));
+    caller.expect("running", CALL);
+    drop(switch);
+
+    let (switch, mut node, mut two) = node_and_exchange();
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 2_500));
+    node.expect(Kind::Iax, iax::NEW);
+    node.send(Kind::Iax, iax::REJECT, Elements::of_cause(42, "retry after 2000 ms").write());
+    let refused = caller.expect("stop", CALL);
+    assert_eq!((refused.cause(), refused.text("meta.wait").as_str()), (34.0, "300"));
+    caller.quiet();
+    two.quiet_exchange();
+}
+
+#[test]
+fn a_node_that_knows_a_standing_call_no_more_has_cut_it() {
+    let (switch, mut node, _two) = node_and_exchange();
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 2_500));
+    node.expect(Kind::Iax, iax::NEW);
+    node.answer();
+    caller.expect("running", CALL);
+    node.send(Kind::Iax, iax::INVAL, vec![]);
+    assert_eq!(caller.expect("stop", CALL).cause(), 41.0);
+    caller.quiet();
+}
+
+#[test]
+fn a_call_between_iax2_peers_relays_media_both_ways() {
+    let (switch, mut node, _lines) = node_and_exchange();
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "1");
+    assert_eq!(node.expect(Kind::Iax, iax::NEW).format, Some(4));
+    node.answer();
+    assert_eq!(phone.expect(Kind::Iax, iax::ACCEPT).format, Some(4));
+    phone.expect(Kind::Control, control::ANSWER);
+    phone.send(Kind::Voice, 4, vec![1; 160]);
+    let voice = node.next();
+    assert_eq!((voice.kind, voice.subclass, voice.payload), (Kind::Voice, 4, vec![1; 160]));
+    let stamp = phone.oseq as u16 * 20;
+    let mini = Mini { source: phone.local, timestamp: stamp, payload: vec![2; 160] };
+    phone.socket.send_to(&mini.write(), phone.peer.expect("a peer")).expect("sent");
+    assert_eq!(node.mini().payload, vec![2; 160]);
+    node.send(Kind::Voice, 4, vec![3; 160]);
+    assert_eq!(phone.next().payload, vec![3; 160]);
+    phone.send(Kind::Dtmf, u32::from(b'5'), vec![]);
+    assert_eq!(node.next().subclass, u32::from(b'5'));
+    node.hang_up(16);
+    assert_eq!(phone.expect(Kind::Iax, iax::HANGUP).cause_code, Some(16));
+}
+
+#[test]
+fn a_caller_hangs_up_while_its_set_up_waits_in_a_stalled_nodes_queue() {
+    let (switch, mut node, mut two) = node_and_exchange();
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "1");
+    // The node takes the set-up and says nothing more of it.
+    node.expect(Kind::Iax, iax::NEW);
+    let raw = phone.raw();
+    let acked = matches!(raw, swiftlb::iax2::frame::Frame::Full(Full { subclass: iax::ACK, .. }));
+    assert!(acked, "{raw:?}");
+    phone.hang_up(16);
+    assert_eq!(node.expect(Kind::Iax, iax::HANGUP).cause_code, Some(16));
+    // The stalled node wakes up and answers the dead call: nobody is told, nothing is sent again.
+    node.answer();
+    let mut caller = Lines::connect(switch.address);
+    caller.quiet();
+    two.quiet_exchange();
+    let owed = phone.before_pong();
+    assert!(owed.iter().all(|frame| !frame.counts()), "told after hanging up: {owed:?}");
+}
+
+#[test]
+fn a_stalled_node_costs_an_iax2_caller_one_rejection_at_its_classs_deadline() {
+    let (switch, mut node, _two) = node_and_exchange();
+    let mut phone = Phone::new(20);
+    let (why, waited) = timed(|| {
+        phone.call(switch.handsets.expect("it is on"), "1");
+        node.expect(Kind::Iax, iax::NEW);
+        phone.expect(Kind::Iax, iax::REJECT)
+    });
+    assert_eq!(why.cause_code, Some(41));
+    // 2 s for this class; the rules allow 50 ms on top, and a busy machine is given more here.
+    assert!((Duration::from_millis(1_990)..Duration::from_millis(2_400)).contains(&waited), "{waited:?}");
+    assert_eq!(node.expect(Kind::Iax, iax::HANGUP).cause_code, Some(16));
+}
+
+#[test]
+fn lost_and_repeated_datagrams_make_one_call_and_one_outcome() {
+    let (switch, mut node, mut two) = node_and_exchange();
+    let mut phone = Phone::new(20);
+    // The first set-up reaches us three times.
+    let new = phone.call(switch.handsets.expect("it is on"), "2");
+    phone.put(&Full { again: true, ..new.clone() });
+    phone.put(&new);
+    let call = two.next().expect("a set-up").text("uid");
+    two.send(&stop(&call, 17, r#""note":"user_busy""#));
+    // The rejection is not acknowledged the first time: it comes again, as a repetition.
+    let rejection = loop {
+        if let swiftlb::iax2::frame::Frame::Full(frame) = phone.raw()
+            && frame.is(iax::REJECT)
+        {
+            break frame;
+        }
+    };
+    assert!(!rejection.again);
+    assert_eq!(phone.expect(Kind::Iax, iax::REJECT).cause_code, Some(17));
+    // A copy of the set-up that was long on its way is no new call.
+    phone.put(&new);
+    assert!(phone.before_pong().iter().all(|frame| !frame.counts()));
+    two.quiet_exchange();
+    // Toward a node: the set-up gets lost once and comes again; a repeated answer is one answer.
+    let mut caller = Lines::connect(switch.address);
+    caller.send(&launch(CALL, 1, 2_500));
+    let first = loop {
+        match node.raw() {
+            swiftlb::iax2::frame::Frame::Full(frame) if frame.is(iax::NEW) => break frame,
+            swiftlb::iax2::frame::Frame::Full(frame) if frame.is(iax::POKE) => {
+                let (source, dest) = (1, frame.source);
+                node.put(&Full { source, dest, iseq: 1, subclass: iax::PONG, ..frame });
+            }
+            _ => {}
+        }
+    };
+    assert!(!first.again);
+    assert_eq!(node.expect(Kind::Iax, iax::NEW).called_number.as_deref(), Some("7F3a"));
+    node.send(Kind::Iax, iax::ACCEPT, vec![]);
+    let answer = node.send(Kind::Control, control::ANSWER, vec![]);
+    node.put(&answer);
+    caller.expect("running", CALL);
+    caller.quiet();
+    let hang_up = node.hang_up(16);
+    node.put(&hang_up);
+    assert_eq!(caller.expect("stop", CALL).cause(), 16.0);
+    caller.quiet();
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,310 @@
+//! Every parser of what comes from outside: valid messages cut at random, and random garbage, from fixed seeds.
+
+#[path = "common/desk.rs"]
+mod desk;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner};
+use swiftlb::config::{Config, parse_json};
+use swiftlb::engine::{CallName, CallerWord, Input, PeerWord};
+use swiftlb::iax2::element::{Elements, advice, cause_of, end_of};
+use swiftlb::iax2::frame::{Frame, FrameError, Full, Kind, Mini, iax, read};
+use swiftlb::iax2::{Endpoint, Iax2Config, Output};
+use swiftlb::interface::{Outcome, Readiness, Reason};
+use swiftlb::net::dns;
+use swiftlb::net::jsonl::{
+    Cut, FromCaller, FromExchange, LONGEST, LineError, Lines, read_caller, read_exchange, write_caller,
+    write_exchange,
+};
+
+const CALL: &str = "9b1f03aa5c7e2d41";
+const IAX2: &str = r#"{"enabled":true,"listen":"127.0.0.1:0","nodes":[1],"contexts":[{"context":"service",
+    "class":"lookup","numbers":[{"prefix":"","exchange":0},{"prefix":"1","exchange":1}]}]}"#;
+
+fn runner(seed: u8) -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    TestRunner::new_with_rng(Cases { cases: 400, failure_persistence: None, ..Cases::default() }, rng)
+}
+
+fn name() -> CallName {
+    CallName::parse(CALL).expect("16 digits")
+}
+
+fn report() -> Vec<String> {
+    vec!["spare".to_owned(), "total".to_owned()]
+}
+
+fn launch() -> String {
+    format!(
+        r#"{{"kind":"launch","uid":"{CALL}","meta":{{"class":"voice","left":"1500","key":"7f3a","extras":"dest:2;width:1;via:3;transit:1;again:1"}},"body":"a\r\n\u00fc"}}"#
+    )
+}
+
+#[test]
+fn a_stream_cut_anywhere_gives_the_same_lines() {
+    let stream = format!("{}\n\n{{\"kind\":\"check\"}}\n{}\nrest", launch(), "y".repeat(LONGEST + 5));
+    let lines = |cuts: &[usize]| {
+        let (mut lines, mut seen, mut at) = (Lines::default(), Vec::new(), 0);
+        for end in cuts.iter().copied().chain([stream.len()]) {
+            lines.push(&stream.as_bytes()[at..end], |cut| seen.push(cut));
+            at = end;
+        }
+        seen
+    };
+    let whole = lines(&[]);
+    assert_eq!(whole.len(), 3);
+    assert!(matches!(&whole[2], Cut::TooLong(_)));
+    let cuts = vec(0..stream.len(), 0..6);
+    let same = |mut cuts: Vec<usize>| {
+        cuts.sort_unstable();
+        let kind = |cut: &Cut| match cut {
+            Cut::Whole(line) => Some(line.clone()),
+            // How much of a line that is too long is kept depends on the cuts.
+            Cut::TooLong(_) => None,
+        };
+        prop_assert!(lines(&cuts).iter().map(kind).eq(whole.iter().map(kind)));
+        Ok(())
+    };
+    runner(1).run(&cuts, same).expect("the same lines");
+}
+
+#[test]
+fn lines_cut_short_and_garbage_are_errors_and_never_panics() {
+    let line = launch();
+    for end in 0..line.len() {
+        assert!(read_caller(&line.as_bytes()[..end], UNIX_EPOCH).is_err(), "{end}");
+    }
+    let garbage = |bytes: Vec<u8>| {
+        let _ = (read_caller(&bytes, UNIX_EPOCH), read_exchange(&bytes, &report()));
+        let _ = (dns::read_answer(1, &bytes, &[]), read(&bytes), Elements::read(&bytes));
+        let text = String::from_utf8_lossy(&bytes);
+        prop_assert!(Config::parse(&text).is_err());
+        Ok(())
+    };
+    runner(2).run(&vec(any::<u8>(), 0..200), garbage).expect("errors only");
+    let pieces = prop::sample::select(vec![
+        "{", "}", "[", "]", ":", ",", "\"", "\\", "\\u", "d83d", "1e9", "null", "kind", "uid", CALL, "meta",
+    ]);
+    let json = |pieces: Vec<&str>| {
+        let _ = read_caller(pieces.concat().as_bytes(), UNIX_EPOCH);
+        Ok(())
+    };
+    runner(3).run(&vec(pieces, 0..60), json).expect("errors only");
+    assert!(parse_json(&"[".repeat(9_000)).is_err(), "a stack would run over");
+}
+
+#[test]
+fn a_set_up_is_read_field_by_field_and_a_wrong_one_names_its_call() {
+    let now = SystemTime::now();
+    let Ok(FromCaller::SetUp(call, setup)) = read_caller(launch().as_bytes(), now) else { panic!() };
+    assert_eq!((call, setup.class.as_str(), setup.dest), (name(), "voice", 2));
+    assert_eq!((setup.left, setup.received), (Some(Duration::from_millis(1_500)), now));
+    assert_eq!((setup.transit_from, setup.advised, setup.was_cut), (Some(3), None, true));
+    assert_eq!(setup.description.as_deref(), Some("a\r\n\u{fc}"));
+    for (from, to) in
+        [("dest:2", "dest:x"), ("\"1500\"", "\"soon\""), ("\"voice\"", "[]"), ("launch", "l\nunch")]
+    {
+        let wrong = launch().replace(from, to);
+        assert_eq!(read_caller(wrong.as_bytes(), now), Err(LineError::Call(name())), "{wrong}");
+    }
+    let other = launch().replace(CALL, "9b1f");
+    assert_eq!(read_caller(other.as_bytes(), now), Err(LineError::Unreadable));
+}
+
+#[test]
+fn every_end_and_note_of_an_exchange_has_its_outcome_and_reason() {
+    let stop = |cause: u32, meta: &str| {
+        let line = format!(r#"{{"kind":"stop","uid":"{CALL}","meta":{{{meta}}},"reason":{cause}}}"#);
+        match read_exchange(line.as_bytes(), &report()) {
+            Ok(FromExchange::Stop(_, outcome, reason)) => (outcome, reason),
+            other => panic!("{other:?}"),
+        }
+    };
+    let note = |note: &str| format!(r#""note":"{note}""#);
+    assert_eq!(stop(16, ""), (Outcome::Ended, Reason::None));
+    assert_eq!(stop(41, ""), (Outcome::Reset, Reason::None));
+    assert_eq!(stop(47, ""), (Outcome::Busy, Reason::None));
+    assert_eq!(stop(17, &note("user_busy")), (Outcome::Busy, Reason::LinesBusy));
+    assert_eq!(stop(102, &note("group_full")), (Outcome::Moot, Reason::NoCircuit));
+    assert_eq!(stop(34, &note("tandem_refused")), (Outcome::Full, Reason::TurnedBack));
+    assert_eq!(stop(34, &note("destination_full")), (Outcome::Full, Reason::FullBeyond));
+    let full = r#""note":"processor_full","waited":"2400""#;
+    assert_eq!(stop(34, full), (Outcome::Full, Reason::ProcessorFull(2_400.0)));
+    assert_eq!(stop(102, &note("processor_full")), (Outcome::Moot, Reason::ProcessorFull(0.0)));
+}
+
+#[test]
+fn a_report_has_its_values_by_name_and_what_is_missing_is_no_number() {
+    let usage = |load: &str| {
+        let line = format!(r#"{{"kind":"usage","meta":{{"load":"{load}"}},"uid":"0000000000000000"}}"#);
+        match read_exchange(line.as_bytes(), &report()) {
+            Ok(FromExchange::Usage(report)) => report,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(usage("total:137;spare:27"), [27.0, 137.0]);
+    let partial = usage("total:137;later:1");
+    assert!(partial[0].is_nan() && partial[1] == 137.0);
+}
+
+#[test]
+fn lines_are_written_as_the_platform_reads_them() {
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+    let refused = CallerWord::Refused { wait: Duration::from_millis(300) };
+    assert_eq!(
+        text(write_caller(name(), &refused)),
+        format!("{{\"kind\":\"stop\",\"uid\":\"{CALL}\",\"meta\":{{\"wait\":\"300\"}},\"reason\":34}}\n")
+    );
+    // Failures are never written with a cause that stands for a refusal.
+    for busy in [true, false] {
+        let line = text(write_caller(name(), &CallerWord::Failed { busy }));
+        assert!(["34}", "42}", "102}"].iter().all(|cause| !line.contains(cause)), "{line}");
+    }
+    let description = Some("a\r\n\"\u{fc}\u{1f600}".into());
+    let left = Duration::from_millis(1_500);
+    let setup = PeerWord::SetUp { class: "voice".into(), key: Some("7F3a".into()), left, description };
+    let line = text(write_exchange(name(), &setup));
+    assert!(line.ends_with("}\n") && line.matches('\n').count() == 1, "{line}");
+    assert!(line.contains(r#""class":"voice","key":"7F3a","left":"1500""#), "{line}");
+}
+
+#[test]
+fn the_resolvers_answer_is_read_as_a_real_one_was_sent() {
+    // Recorded from a resolver; its names are compressed.
+    let hex = "123485800001000300010006045f617069045f74637003737663056c6f63616c0000210001c00c0021000100000001001d\
+        0000000a13ce0a732d3066656134393536047769656e05686f73747300c00c0021000100000001001d0000000a13ce0a732d326662\
+        3232646163046772617a05686f73747300c00c0021000100000001001d0000000a13ce0a732d3366313233653538046c696e7a0568\
+        6f73747300c00c00060001000000010018c00cc00c0000000100000001000000010000000100000001c03700010001000000010004\
+        7f080101c0370010000100000001001f0d6b696e643d7374616e646172640663656c6c3d3109737461727465643d30";
+    let hex: String = hex.split_whitespace().collect();
+    let digits = |i: usize| u8::from_str_radix(&hex[2 * i..2 * i + 2], 16).expect("hexadecimal");
+    let mut bytes: Vec<u8> = (0..hex.len() / 2).map(digits).collect();
+    bytes[11] = 2; // The recording ends after the records of the first target.
+    let zones = ["graz".to_owned(), "wien".to_owned()];
+    let (serial, list) = dns::read_answer(0x1234, &bytes, &zones).expect("an answer");
+    assert_eq!((serial, list.len()), (1, 1), "targets without records are not listed");
+    assert_eq!((&*list[0].name, list[0].number, list[0].zone), ("s-0fea4956", 1, 1));
+    assert_eq!(list[0].address, "127.8.1.1:5070".parse().expect("an address"));
+    assert_eq!((list[0].born, list[0].readiness), (None, Readiness::Ready));
+    assert!(dns::read_answer(0x1235, &bytes, &zones).is_err(), "an answer to another query");
+    for end in 0..bytes.len() {
+        assert!(dns::read_answer(0x1234, &bytes[..end], &zones).is_err(), "{end}");
+    }
+    let query = dns::query(0x1234).expect("a query");
+    assert_eq!(&query[12..], &bytes[12..12 + query.len() - 12], "the question is the one that was answered");
+}
+
+#[test]
+fn frames_have_the_layout_of_the_specification() {
+    let bytes = [0x80, 0x05, 0x80, 0x07, 0, 0, 1, 2, 3, 4, 6, 1, 0x0b, 2, 0, 2];
+    let Ok(Frame::Full(frame)) = read(&bytes) else { panic!() };
+    assert_eq!((frame.source, frame.dest, frame.again, frame.timestamp), (5, 7, true, 0x102));
+    assert_eq!((frame.oseq, frame.iseq, frame.is(iax::NEW)), (3, 4, true));
+    assert_eq!(Elements::read(&frame.payload).expect("elements").version, Some(2));
+    assert_eq!(frame.write(), bytes);
+    let Ok(Frame::Full(h264)) = read(&[0x80, 1, 0, 0, 0, 0, 0, 0, 0, 0, 3, 0x95]) else { panic!() };
+    assert_eq!((h264.kind, h264.subclass, h264.write()[11]), (Kind::Video, 1 << 21, 0x95));
+    let mini = Mini { source: 5, timestamp: 0x1234, payload: vec![9] };
+    assert_eq!((mini.write(), read(&mini.write())), (vec![0, 5, 0x12, 0x34, 9], Ok(Frame::Mini(mini))));
+    assert_eq!(read(&[0, 0, 1, 1, 0, 0]), Err(FrameError::Meta));
+    for end in 0..12 {
+        assert!(read(&bytes[..end]).is_err(), "{end}");
+    }
+}
+
+#[test]
+fn elements_come_back_as_written_and_cut_ones_are_errors() {
+    let text = "[ -~]{0,40}";
+    let any_text = || prop::option::of(text.prop_map(String::from));
+    let numbers = (any::<Option<u32>>(), any::<Option<u32>>(), any::<Option<u16>>(), any::<Option<u8>>());
+    let texts = (any_text(), any_text(), any_text(), any_text());
+    let both = |((called, calling, context, cause), (capability, format, version, code))| {
+        let elements = Elements {
+            called_number: called,
+            calling_number: calling,
+            called_context: context,
+            capability,
+            format,
+            version,
+            cause,
+            cause_code: code,
+            unknown: None,
+        };
+        let bytes = elements.write();
+        prop_assert_eq!(Elements::read(&bytes), Ok(elements));
+        Ok(())
+    };
+    runner(4).run(&(texts, numbers), both).expect("the same elements");
+    assert_eq!(Elements::read(&[1, 5, b'1']), Err(FrameError::Element(1)));
+    assert_eq!(Elements::read(&[1]), Err(FrameError::Element(1)));
+}
+
+#[test]
+fn causes_and_advice_mean_the_same_in_both_directions() {
+    let refused = cause_of(&CallerWord::Refused { wait: Duration::from_millis(700) });
+    assert_eq!(end_of(&refused), (Outcome::Full, Reason::ProcessorFull(700.0)));
+    assert_eq!(end_of(&cause_of(&CallerWord::Failed { busy: true })), (Outcome::Busy, Reason::LinesBusy));
+    assert_eq!(end_of(&cause_of(&CallerWord::Released { cut: true })), (Outcome::Reset, Reason::None));
+    assert_eq!(end_of(&cause_of(&CallerWord::Released { cut: false })), (Outcome::Ended, Reason::None));
+    assert_eq!(end_of(&Elements::of_cause(34, "")), (Outcome::Full, Reason::NoCircuit));
+    assert_eq!(end_of(&Elements::of_cause(102, "")), (Outcome::Moot, Reason::None));
+    assert_eq!(advice("retry after 99999999999999999999999 ms"), None);
+}
+
+#[test]
+fn whatever_datagrams_come_an_endpoint_holds_no_leg_but_for_a_set_up() {
+    let config = || Iax2Config::parse(IAX2).expect("a configuration").expect("it is on");
+    let from = "127.0.0.1:4000".parse().expect("an address");
+    let garbage = |datagrams: Vec<Vec<u8>>| {
+        let mut endpoint = Endpoint::new(config(), 0, 1);
+        let mut out = Output::default();
+        for (at, bytes) in datagrams.iter().enumerate() {
+            endpoint.receive(UNIX_EPOCH + Duration::from_millis(at as u64), from, bytes, &mut out);
+        }
+        let set_ups = out.inputs.iter().filter(|input| matches!(input, Input::SetUp { .. })).count();
+        prop_assert!(set_ups <= datagrams.len() && out.datagrams.len() <= 3 * datagrams.len());
+        endpoint.wake(UNIX_EPOCH + Duration::from_secs(60), &mut out);
+        Ok(())
+    };
+    // Whole headers with random fields reach deeper than plain garbage.
+    let frame = (0u8..4, 0u8..4, 0u8..3, 0u8..3, 0u8..7, 0u8..0x23, vec(any::<u8>(), 0..12));
+    let frame = frame.prop_map(|(source, dest, oseq, iseq, kind, subclass, payload)| {
+        let mut bytes = vec![0x80, source, 0, dest, 0, 0, 0, 1, oseq, iseq, kind, subclass];
+        bytes.extend(payload);
+        bytes
+    });
+    let datagram = prop_oneof![frame, vec(any::<u8>(), 0..40)];
+    runner(5).run(&vec(datagram, 0..30), garbage).expect("no panic");
+    let mut endpoint = Endpoint::new(config(), 0, 1);
+    let mut out = Output::default();
+    let (kind, payload) = (Kind::Iax, vec![0x0b, 2, 0, 2, 5, 7, b's', b'e', b'r', b'v', b'i', b'c', b'e']);
+    let new = Full {
+        source: 3,
+        dest: 0,
+        again: false,
+        timestamp: 1,
+        oseq: 0,
+        iseq: 0,
+        kind,
+        subclass: iax::NEW,
+        payload,
+    };
+    endpoint.receive(UNIX_EPOCH, from, &new.write(), &mut out);
+    assert!(matches!(out.inputs[..], [Input::SetUp { .. }]));
+    // A caller that is never heard again costs its leg no more than some repetitions.
+    let call = match &out.inputs[0] {
+        Input::SetUp { call, .. } => *call,
+        _ => return,
+    };
+    endpoint.to_caller(UNIX_EPOCH, call, &CallerWord::Failed { busy: false }, &mut out);
+    let mut now = UNIX_EPOCH;
+    while let Some(at) = endpoint.next_wake() {
+        assert!(at <= UNIX_EPOCH + Duration::from_secs(8), "a dead peer is kept for too long");
+        now = now.max(at);
+        endpoint.wake(now, &mut out);
+    }
+    assert_eq!(endpoint.legs(), 0);
+}
