Make the stand-in exchange leave bytes unread before it resets its connection

Cause: the stand-in dropped its socket before the second set-up had reached it, so the system closed the connection in good order instead of resetting it (tests/common/peers.rs, reset). The program was right both times: a close is followed by a refused connection, which cuts the call as well.

--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -109,8 +109,8 @@
 
     /// Breaks the connection as a dying process does.
     pub fn reset(self) {
-        // Closing with bytes unread makes the system send a reset.
-        drop(self);
+        // Closing with bytes unread makes the system send a reset; so wait until some are there.
+        self.stream.peek(&mut [0]).expect("bytes to leave unread");
     }
 }
 
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -112,7 +112,6 @@
     one.expect("launch", CALL);
     one.send(&running(CALL));
     caller.expect("running", CALL);
-    // Bytes that nobody read make the system reset the connection.
     caller.send(&launch("00000000000000cc", 1, 400));
     caller.quiet();
     one.reset();
