Pass on the release of a call that stood before the last start

Checked by reading PROTOCOL: a standing call belongs to no connection and must be released towards its client, so a restarted softswitch has to pass on the end of calls it never knew. engine/mod.rs ended() dropped them. Calls that ended here are remembered for 60 s, so that an exchange's word on those stays unheard. Test in engine.rs. Also: the names of report values are read in one place; wire.rs had its own copy of that table.

--- a/src/config.rs
+++ b/src/config.rs
@@ -278,7 +278,8 @@
         .collect()
 }
 
-fn report_field(name: &str) -> ReportField {
+/// The value of a load report that goes by this name.
+pub(crate) fn report_field(name: &str) -> ReportField {
     match name {
         "spare" => ReportField::Free,
         "total" => ReportField::Total,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -6,7 +6,7 @@
 //! drains.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -34,6 +34,9 @@
 const KEEP_RELEASE: Duration = Duration::from_secs(10);
 /// After the order to stop, set-ups arrive for 0.4 s on new connections and 0.2 s more on open ones.
 const DRAIN: Duration = Duration::from_millis(700);
+/// A call that is over is remembered for this long, so that what an exchange still says of it is told from
+/// news of a call that stood before this softswitch last started.
+const REMEMBER: Duration = Duration::from_secs(60);
 /// An exchange that is gone is forgotten after this long.
 const FORGET: Duration = Duration::from_secs(120);
 
@@ -126,6 +129,9 @@
     last_peer: u32,
     links: BTreeMap<LinkId, Front>,
     held: VecDeque<Held>,
+    /// Calls that are over, oldest first, and the same for looking them up.
+    over: VecDeque<(SystemTime, CallName)>,
+    over_names: HashSet<CallName>,
     tests: u64,
     timers: BinaryHeap<Reverse<(SystemTime, u64, Timer)>>,
     timer_count: u64,
@@ -159,6 +165,8 @@
             last_peer: 0,
             links: BTreeMap::new(),
             held: VecDeque::new(),
+            over: VecDeque::new(),
+            over_names: HashSet::new(),
             tests: 0,
             timers: BinaryHeap::new(),
             timer_count: 0,
@@ -383,6 +391,12 @@
         self.abandon(id, effects);
         let call = self.calls.remove(&id)?;
         self.by_name.remove(&call.name);
+        if self.over_names.insert(call.name) {
+            self.over.push_back((self.now, call.name));
+        }
+        while let Some((_, name)) = self.over.pop_front_if(|(at, _)| since(*at, self.now) > REMEMBER) {
+            self.over_names.remove(&name);
+        }
         // The module may still hold it (overdue, link lost); it passes over an id it has ended itself.
         self.events.push_back(Event::Left { call: id });
         Some(call)
@@ -609,6 +623,10 @@
         reason: Reason,
         effects: &mut Vec<Effect>,
     ) {
+        let unknown = !self.by_name.contains_key(&name) && !self.over_names.contains(&name);
+        if unknown && self.conns.contains_key(&conn) {
+            return self.pass_release(name, outcome, effects);
+        }
         let Some((id, peer)) = self.call_at(conn, name) else { return };
         match self.calls[&id].phase {
             Phase::Standing { .. } => self.end_standing(id, peer, outcome, effects),
@@ -618,6 +636,20 @@
         }
     }
 
+    /// The end of a call that nobody here has ever heard of: it stood before the last start, and its caller,
+    /// whom the front knows, still has to be told.
+    fn pass_release(&mut self, call: CallName, outcome: Outcome, effects: &mut Vec<Effect>) {
+        if !matches!(outcome, Outcome::Ended | Outcome::Reset) {
+            return;
+        }
+        self.over_names.insert(call);
+        self.over.push_back((self.now, call));
+        let word = CallerWord::Released { cut: outcome == Outcome::Reset };
+        let until = self.now + KEEP_RELEASE;
+        self.held.push_back(Held { until, front: Front::Platform, call, word });
+        self.send_held(effects);
+    }
+
     /// A call that stood is over on the far side: its caller is told, whichever way is open.
     fn end_standing(&mut self, id: CallId, at: ExchangeId, outcome: Outcome, effects: &mut Vec<Effect>) {
         let outcome = if outcome == Outcome::Ended { Outcome::Ended } else { Outcome::Reset };
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,6 +8,7 @@
 use bytes::{Buf, BufMut};
 use thiserror::Error;
 
+use crate::config::report_field;
 use crate::interface::{
     Action, Class, Event, ExchangeId, FarReports, ListKind, Listed, NewCall, Outcome, Readiness, Reason,
     Report, ReportField, Settings, Tenant,
@@ -562,16 +563,5 @@
 
 fn read_report_fields(keys: &Keys<'_>) -> Result<Vec<ReportField>, WireError> {
     let names = keys.text("report.fields")?.split(',').filter(|name| !name.is_empty());
-    let fields = names.map(|name| match name {
-        "spare" => ReportField::Free,
-        "total" => ReportField::Total,
-        "svc_ms" => ReportField::Wait,
-        "allowed" => ReportField::Allowed,
-        "busy_reqs" => ReportField::Busy,
-        "pending" => ReportField::Queue,
-        "cpu_share" => ReportField::Load,
-        "cut_by" => ReportField::HoldBack,
-        _ => ReportField::Unknown,
-    });
-    Ok(fields.collect())
+    Ok(names.map(report_field).collect())
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -202,3 +202,15 @@
     desk.call(1, 1, 1_500);
     assert_eq!(desk.told(1), [CallerWord::Refused { wait: Duration::from_millis(300) }]);
 }
+
+#[test]
+fn the_end_of_a_call_from_before_the_last_start_is_passed_on_and_that_of_one_from_here_is_not() {
+    let mut desk = Desk::new(3);
+    desk.end(9, 2, Outcome::Ended, Reason::None);
+    desk.end(9, 1, Outcome::Ended, Reason::None);
+    assert_eq!(desk.told(9), [CallerWord::Released { cut: false }]);
+    desk.call(1, 2, 1_500);
+    desk.put(Input::HangUp { call: name(1), cause: 16 });
+    desk.end(1, 2, Outcome::Ended, Reason::None);
+    assert_eq!(desk.told(1), []);
+}
