Send a release again that crossed the caller's close of its connection

Seen: a_call_goes_from_json_lines_to_json_lines failed once in some 20 runs: the caller closed its connection, the exchange ended the call, and no later connection heard of it. Cause: engine/mod.rs, conclude(): the release was put on a connection whose close had not been taken out of the queue yet. A caller could wait for it for ever. Checked: the peer's system answers bytes that come after its close with a reset, which take_error shows; a caller that read the release and then closed gives none, so nobody is told twice. The reader looks 300 ms after the close.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -32,6 +32,10 @@
 const LAST_WORDS: Duration = Duration::from_millis(700);
 /// A release that finds no way to callers is kept for this long: past it nobody waits for it.
 const KEEP_RELEASE: Duration = Duration::from_secs(10);
+/// No way has this id.
+const NO_LINK: LinkId = LinkId::MAX;
+/// A release may prove unheard for this long after it was sent.
+const UNHEARD: Duration = Duration::from_secs(1);
 /// After the order to stop, set-ups arrive for 0.4 s on new connections and 0.2 s more on open ones.
 const DRAIN: Duration = Duration::from_millis(700);
 /// A call that is over is remembered for this long, so that what an exchange still says of it is told from
@@ -103,6 +107,7 @@
     busy: bool,
 }
 
+#[derive(Clone)]
 struct Held {
     until: SystemTime,
     front: Front,
@@ -129,6 +134,8 @@
     last_peer: u32,
     links: BTreeMap<LinkId, Front>,
     held: VecDeque<Held>,
+    /// Releases that were sent a moment ago, and on which way: it may turn out that nobody read them.
+    fresh: VecDeque<(SystemTime, LinkId, Held)>,
     /// Calls that are over, oldest first, and the same for looking them up.
     over: VecDeque<(SystemTime, CallName)>,
     over_names: HashSet<CallName>,
@@ -165,6 +172,7 @@
             last_peer: 0,
             links: BTreeMap::new(),
             held: VecDeque::new(),
+            fresh: VecDeque::new(),
             over: VecDeque::new(),
             over_names: HashSet::new(),
             tests: 0,
@@ -211,6 +219,13 @@
                 self.send_held(effects);
             }
             Input::LinkDown { link } => self.lose_link(link, effects),
+            Input::Unheard { link } => {
+                // Guards against the loss of a release that crossed the caller's close of the connection.
+                let unheard = self.fresh.iter().filter(|(_, on, _)| *on == link);
+                self.held.extend(unheard.map(|(_, _, held)| held.clone()));
+                self.fresh.retain(|(_, on, _)| *on != link);
+                self.send_held(effects);
+            }
             Input::SetUp { link, call, setup } => self.take_call(link, call, setup, effects),
             Input::Malformed { link, call } => {
                 // A call that is held keeps its one answer, whatever else comes under its id.
@@ -376,12 +391,11 @@
             return;
         }
         let Some(call) = self.forget(id, effects) else { return };
-        if self.links.contains_key(&call.link) {
-            effects.push(Effect::ToCaller { link: call.link, call: call.name, word });
-        } else if released {
+        if released {
             let until = self.now + KEEP_RELEASE;
-            self.held.push_back(Held { until, front: call.front, call: call.name, word });
-            self.send_held(effects);
+            self.release_caller(call.link, Held { until, front: call.front, call: call.name, word }, effects);
+        } else if self.links.contains_key(&call.link) {
+            effects.push(Effect::ToCaller { link: call.link, call: call.name, word });
         }
         self.try_exit(effects);
     }
@@ -394,7 +408,10 @@
         if self.over_names.insert(call.name) {
             self.over.push_back((self.now, call.name));
         }
-        while let Some((_, name)) = self.over.pop_front_if(|(at, _)| since(*at, self.now) > REMEMBER) {
+        while let Some((at, name)) = self.over.front().copied()
+            && since(at, self.now) > REMEMBER
+        {
+            self.over.pop_front();
             self.over_names.remove(&name);
         }
         // The module may still hold it (overdue, link lost); it passes over an id it has ended itself.
@@ -402,16 +419,27 @@
         Some(call)
     }
 
+    /// Releases a call towards its caller: on the way that its set-up came on, else on any, else on the next.
+    fn release_caller(&mut self, first: LinkId, held: Held, effects: &mut Vec<Effect>) {
+        let any = || self.links.iter().find(|(_, front)| **front == held.front).map(|(link, _)| *link);
+        let link = if self.links.contains_key(&first) { Some(first) } else { any() };
+        let Some(link) = link else {
+            self.held.push_back(held);
+            return;
+        };
+        effects.push(Effect::ToCaller { link, call: held.call, word: held.word.clone() });
+        let now = self.now;
+        self.fresh.retain(|(sent, ..)| since(*sent, now) <= UNHEARD);
+        self.fresh.push_back((now, link, held));
+    }
+
     /// Sends what waits for a way to callers.
     fn send_held(&mut self, effects: &mut Vec<Effect>) {
-        let (links, now) = (&self.links, self.now);
-        self.held.retain(|held| {
-            let way = links.iter().find(|(_, front)| **front == held.front);
-            if let Some((link, _)) = way {
-                effects.push(Effect::ToCaller { link: *link, call: held.call, word: held.word.clone() });
+        for held in std::mem::take(&mut self.held) {
+            if held.until > self.now {
+                self.release_caller(NO_LINK, held, effects);
             }
-            way.is_none() && held.until > now
-        });
+        }
     }
 
     /// A connection from callers is closed. Set-ups open on it are lost, so they are given up; a standing
@@ -646,8 +674,7 @@
         self.over.push_back((self.now, call));
         let word = CallerWord::Released { cut: outcome == Outcome::Reset };
         let until = self.now + KEEP_RELEASE;
-        self.held.push_back(Held { until, front: Front::Platform, call, word });
-        self.send_held(effects);
+        self.release_caller(NO_LINK, Held { until, front: Front::Platform, call, word }, effects);
     }
 
     /// A call that stood is over on the far side: its caller is told, whichever way is open.
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -113,6 +113,11 @@
         /// The way.
         link: LinkId,
     },
+    /// It broke, and what was last said on it was not read.
+    Unheard {
+        /// The way.
+        link: LinkId,
+    },
     /// A call came.
     SetUp {
         /// On which way.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -21,6 +21,10 @@
 /// A peer that takes nothing for this long is cut off.
 const STALLED: Duration = Duration::from_secs(5);
 
+/// How long the peer's reset may take to come back: a round trip on a poor link, and well within the second in
+/// which a release has to be sent.
+const ECHO: Duration = Duration::from_millis(300);
+
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -89,6 +93,13 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
+/// Whether something was sent on a connection after the peer had closed it. The peer's system answers such
+/// bytes with a reset, which is the only sign of it.
+pub fn unread(stream: &TcpStream) -> bool {
+    std::thread::sleep(ECHO);
+    matches!(stream.take_error(), Ok(Some(_)))
+}
+
 /// Reads a connection to its end and hands on each line with the time at which its last byte came.
 pub fn read(mut stream: &TcpStream, mut each: impl FnMut(Cut, SystemTime)) -> Ending {
     let mut lines = Lines::default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -65,6 +65,8 @@
     Datagram(SocketAddr, Vec<u8>, SystemTime),
     /// A connection from callers is over.
     CallerGone(LinkId),
+    /// It broke with something unread.
+    Unheard(LinkId),
     /// A connection to an exchange is over.
     ExchangeGone(ConnId, Ending),
 }
@@ -269,6 +271,7 @@
                 self.links.remove(&link);
                 Some(Input::LinkDown { link })
             }
+            Message::Unheard(link) => Some(Input::Unheard { link }),
             Message::ExchangeGone(conn, ending) => {
                 self.conns.remove(&conn);
                 Some(Input::ConnectionLost { conn, reset: ending == Ending::Reset })
@@ -396,8 +399,11 @@
         };
         let _ = to_loop.send(Message::Input(input));
     };
-    connection::read(stream, each);
+    let ending = connection::read(stream, each);
     let _ = to_loop.send(Message::CallerGone(link));
+    if ending == Ending::Reset || connection::unread(stream) {
+        let _ = to_loop.send(Message::Unheard(link));
+    }
 }
 
 fn read_exchange(conn: ConnId, stream: &TcpStream, report: &[String], to_loop: &Sender<Message>) {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -214,3 +214,21 @@
     desk.end(1, 2, Outcome::Ended, Reason::None);
     assert_eq!(desk.told(1), []);
 }
+
+#[test]
+fn a_release_that_crossed_the_close_of_its_connection_is_sent_again_on_another() {
+    let mut desk = Desk::new(3);
+    for call in [1, 2] {
+        desk.call(call, 2, 1_500);
+        desk.answer(call, 2);
+    }
+    desk.end(1, 2, Outcome::Ended, Reason::None);
+    desk.pass(1_200);
+    desk.end(2, 2, Outcome::Ended, Reason::None);
+    desk.put(Input::LinkDown { link: LINK });
+    desk.seen.clear();
+    desk.put(Input::Unheard { link: LINK });
+    assert_eq!(desk.told(2), []);
+    desk.put(Input::LinkUp { link: 8, front: Front::Platform });
+    assert_eq!((desk.told(1), desk.told(2)), (vec![], vec![CallerWord::Released { cut: false }]));
+}
