Take nothing from a refused connection, turn reset transit back at once, tell starts right

Causes: (1) decide.rs, resolve(): transit that was reset was held for the release pause although it has no second route; its sender took the wait for the tandem's delay. (2) resolve() took a refused connection, over in 0.4 ms, for a quick set-up: the common delay fell from 40 ms to 1 ms within a second. A test for each of the three; each fails without its change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -380,7 +380,8 @@
     ) {
         let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot);
         let never_stood = self.exchanges.get(&at).is_some_and(|e| e.out.contains_key(&id));
-        if never_stood && outcome != Outcome::Moot {
+        // A connection that is refused takes no time at all: it says nothing of any processor's delay.
+        if never_stood && !matches!(outcome, Outcome::Moot | Outcome::NoConnection) {
             self.settle(id, at, took);
         } else if let Some(exchange) = self.exchanges.get_mut(&at) {
             exchange.out.remove(&id);
@@ -419,7 +420,8 @@
         match outcome {
             Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 let until = self.now + self.set.release_ms;
-                if until + LEAST_LEFT_MS > call.deadline {
+                // Transit has no second route: the exchange it came from has, and must hear at once.
+                if call.transit || until + LEAST_LEFT_MS > call.deadline {
                     return self.end(id, actions);
                 }
                 call.phase = Phase::Held { until };
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -49,9 +49,14 @@
     span.as_secs_f64() * 1_000.0
 }
 
+/// Longest span in seconds. It holds times since 1970 too: a bound of 1e9 made every start of an exchange lie
+/// in 2001, so that none ever counted as cold.
+const LONGEST_SPAN: f64 = 1e11;
+
 /// A span of the module's milliseconds; whatever is no time at all counts as zero.
 pub fn span(ms: f64) -> Duration {
-    if ms.is_finite() && ms > 0.0 { Duration::from_secs_f64((ms / 1_000.0).min(1e9)) } else { Duration::ZERO }
+    let seconds = if ms.is_finite() { ms / 1_000.0 } else { 0.0 };
+    Duration::from_secs_f64(seconds.clamp(0.0, LONGEST_SPAN))
 }
 
 /// The module's clock: milliseconds since 1970.
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -232,3 +232,38 @@
     desk.put(Input::LinkUp { link: 8, front: Front::Platform });
     assert_eq!((desk.told(1), desk.told(2)), (vec![], vec![CallerWord::Released { cut: false }]));
 }
+
+#[test]
+fn an_exchange_that_has_just_started_gets_a_part_of_its_calls_only() {
+    let mut desk = Desk::new(3);
+    for call in 0..60 {
+        desk.pass(100);
+        desk.call(call, 2, 1_500);
+        desk.answer(call, 2);
+    }
+    // Both ways of telling its start: the list as it comes, and the list of the configuration.
+    let mut list: Vec<_> = (0..3).map(|place| entry(place, Readiness::Ready)).collect();
+    let started = swiftlb::engine::millis(desk.now.duration_since(std::time::UNIX_EPOCH).expect("a time"));
+    list[2].born = Some(std::time::UNIX_EPOCH + swiftlb::engine::span(started));
+    assert_eq!(
+        list[2].born.map(|born| desk.now.duration_since(born).is_ok_and(|d| d.as_millis() < 2)),
+        Some(true)
+    );
+    desk.put(Input::List(list));
+    desk.seen.clear();
+    desk.pass(400);
+    (100..140).for_each(|call| desk.call(call, 2, 1_500));
+    let cold = desk.way(2);
+    let sent = (100..140).filter(|call| desk.sent(*call).iter().any(|(conn, _)| *conn == cold)).count();
+    assert!((1..20).contains(&sent), "{sent} of 40 at once to a cold exchange");
+}
+
+#[test]
+fn transit_that_is_reset_is_turned_back_at_once_and_not_after_the_release_pause() {
+    let mut desk = Desk::new(3);
+    let mut setup = desk.setup(2, 1_500);
+    setup.transit_from = Some(1);
+    desk.put(Input::SetUp { link: LINK, call: name(1), setup });
+    desk.end(1, 2, Outcome::Reset, Reason::None);
+    assert_eq!((desk.told(1), desk.setups(1)), (vec![FAILED], 1));
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -469,3 +469,16 @@
     host.pass(1_000.0);
     assert!(host.event(Event::Timer { tag: UPKEEP }).actions.contains(&Action::Subscribe));
 }
+
+#[test]
+fn a_refused_connection_does_not_make_a_slow_exchange_look_quick() {
+    let mut host = Host::mesh(3, 1);
+    (1..=3).for_each(|call| assert_eq!(host.call(call, 0, 1).sent_to(), Some(1)));
+    host.pass(900.0);
+    host.stands(1, 1, 900.0);
+    for call in [2, 3] {
+        // No time passes until a connection is refused, whatever the processor behind it does.
+        host.outcome(call, 0, 1, Outcome::NoConnection, Reason::None);
+    }
+    assert_eq!(host.call(4, 0, 1).sent_to(), None);
+}
