Give back the circuits of an attempt whose connection was refused

In the trace, n0 dialled the dead exchange some 50 times within 0.6 s and then never for a call again. Cause: decide.rs, send() counts an attempt's circuits off the group, and only news of the group puts that right; on sockets such news comes on the connection that was refused. The group looked full, no call was tried directly, the running rate of sends faded, and the cold budget, which is a multiple of that rate, came out too small. resolve() now gives the circuits back when the connection failed: nothing was sent, nothing is taken.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -408,6 +408,13 @@
                 leg.absent_until = self.now + ABSENT_MS;
             }
         }
+        // Nothing was sent, so nothing is taken. No news says so where news comes on the connection that failed:
+        // the group would look full after some calls, and its exchange would have lost its usual rate.
+        if outcome == Outcome::NoConnection
+            && let Some(free) = self.exchanges.get_mut(&at).and_then(|e| e.free.as_mut())
+        {
+            *free += call.width;
+        }
         if reason == Reason::NoCircuit
             && let Some(exchange) = self.exchanges.get_mut(&at)
         {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -482,3 +482,13 @@
     }
     assert_eq!(host.call(4, 0, 1).sent_to(), None);
 }
+
+#[test]
+fn refused_connections_leave_the_group_as_free_as_it_was() {
+    let mut host = Host::mesh(3, 1);
+    host.free(1, 2.0, 20.0);
+    for call in 1..=5 {
+        assert_eq!(host.call(call, 0, 1).sent_to(), Some(1));
+        host.outcome(call, 0, 1, Outcome::NoConnection, Reason::None);
+    }
+}
