Repeat what IAX2 peers have not heard before the program ends, and dial nobody that is gone

Seen: on an order to stop, the program ended 50 ms after its last answer; an IAX2 REJECT whose datagram was lost was never repeated. Cause: net/mod.rs ended the loop at Effect::Exit without a look at the legs. It now waits for their acknowledgements, 1 s at most. On TCP nothing changes: the system delivers what was written. Also seen by reading: a set-up to an exchange that is gone would have waited for a dial that never comes (engine/mod.rs, attempt); it fails at once now. And a socket that keeps failing no longer spins the IAX2 thread.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -515,7 +515,13 @@
         self.set_timer(cap, Timer::Attempt(id, attempt));
         match self.peers.get(&to).map(|peer| peer.way) {
             Some(Way::Up(_)) => self.transmit(id, effects),
-            Some(Way::Down) => self.dial(to, effects),
+            Some(Way::Down) => {
+                self.dial(to, effects);
+                // One that is gone is not dialled: whoever answers at its address is another one.
+                if self.peers.get(&to).is_none_or(|peer| peer.way == Way::Down) {
+                    self.attempt_over(id, Outcome::NoConnection, Reason::None);
+                }
+            }
             _ => {}
         }
     }
--- a/src/iax2/mod.rs
+++ b/src/iax2/mod.rs
@@ -175,6 +175,11 @@
         self.lines.len()
     }
 
+    /// Whether every peer has acknowledged all that was sent to it.
+    pub fn all_heard(&self) -> bool {
+        self.lines.values().all(|line| line.leg.is_quiet())
+    }
+
     /// When it wants to be woken.
     pub fn next_wake(&self) -> Option<SystemTime> {
         let lines = self.lines.values().filter_map(|line| line.leg.next_wake(line.state == State::Closing));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,6 +29,8 @@
 const WAITING: usize = 4_096;
 /// The one link of all IAX2 callers; connections count on from it.
 const HANDSETS: LinkId = 0;
+/// How long the last frames on IAX2 legs are repeated at the end, if nobody acknowledges them.
+const LAST_REPEATS: Duration = Duration::from_secs(1);
 /// How long the last answers may take to be written at the end.
 const LAST_WRITES: Duration = Duration::from_millis(50);
 
@@ -151,7 +153,7 @@
             handsets,
             last_link: HANDSETS,
             inputs,
-            done: false,
+            done: None,
         };
         loop {
             for effect in effects.drain(..) {
@@ -163,7 +165,7 @@
                     driver.perform(effect);
                 }
             }
-            if driver.done {
+            if driver.is_done() {
                 drop(driver);
                 std::thread::sleep(LAST_WRITES);
                 return Ok(());
@@ -202,7 +204,10 @@
     let mut buffer = vec![0; 64 * 1024];
     loop {
         // An error is the echo of a datagram that a dead peer refused; the leg's own time-out sees to it.
-        let Ok((length, from)) = socket.recv_from(&mut buffer) else { continue };
+        let Ok((length, from)) = socket.recv_from(&mut buffer) else {
+            std::thread::sleep(Duration::from_millis(5));
+            continue;
+        };
         let message = Message::Datagram(from, buffer[..length].to_vec(), SystemTime::now());
         if to_loop.send(message).is_err() {
             return;
@@ -247,7 +252,8 @@
     last_link: LinkId,
     /// What the reducer is to be told next.
     inputs: VecDeque<Input>,
-    done: bool,
+    /// Set once all is answered: when to end at the latest.
+    done: Option<SystemTime>,
 }
 
 impl Driver {
@@ -280,9 +286,16 @@
         self.inputs.extend(input);
     }
 
-    /// When the legs of the IAX2 side want to be woken.
+    /// When the legs of the IAX2 side, or the end, want to be seen to.
     fn next_wake(&self) -> Option<SystemTime> {
-        self.handsets.as_ref().and_then(|h| h.endpoint.next_wake())
+        let legs = self.handsets.as_ref().and_then(|h| h.endpoint.next_wake());
+        legs.into_iter().chain(self.done).min()
+    }
+
+    /// Whether the program may end: all is answered, and IAX2 peers have it or had the time to ask again.
+    fn is_done(&self) -> bool {
+        let heard = self.handsets.as_ref().is_none_or(|h| h.endpoint.all_heard());
+        self.done.is_some_and(|until| heard || until <= SystemTime::now())
     }
 
     fn wake(&mut self) {
@@ -344,7 +357,9 @@
                 None => self.on_handsets(|h, _| h.endpoint.close(SystemTime::now(), conn)),
             },
             Effect::Trace(text) => eprintln!("swiftlb: {text}"),
-            Effect::Exit => self.done = true,
+            Effect::Exit => {
+                self.done.get_or_insert(SystemTime::now() + LAST_REPEATS);
+            }
         }
     }
 
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -267,3 +267,16 @@
     desk.end(1, 2, Outcome::Reset, Reason::None);
     assert_eq!((desk.told(1), desk.setups(1)), (vec![FAILED], 1));
 }
+
+#[test]
+fn a_call_is_not_kept_waiting_for_an_exchange_that_is_gone() {
+    let mut desk = Desk::new(4);
+    desk.put(Input::ConnectionLost { conn: desk.way(2), reset: true });
+    desk.call(1, 2, 1_500);
+    // Its connection is being dialled when the list tells that it is gone; its address is dialled no more.
+    desk.put(Input::List([0, 1, 3].map(|place| entry(place, Readiness::Ready)).to_vec()));
+    let dialled = desk.ways.len();
+    desk.put(Input::ConnectFailed { conn: desk.way(2), refused: true });
+    desk.pass(2_000);
+    assert_eq!((desk.ways.len(), desk.told(1).len()), (dialled, 1));
+}
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -119,6 +119,27 @@
     assert_ne!(caller.expect("stop", "00000000000000cc").cause(), 16.0);
 }
 
+#[test]
+fn an_order_to_stop_repeats_an_iax2_rejection_that_was_lost() {
+    let (mut switch, mut lines) = two_exchanges();
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "17");
+    let call = lines[0].next().expect("a set-up").text("uid");
+    switch.to_loop.send(swiftlb::net::Message::Input(swiftlb::engine::Input::Drain)).expect("it runs");
+    std::thread::sleep(Duration::from_millis(800));
+    lines[0].send(&stop(&call, 17, r#""note":"user_busy""#));
+    let mut rejections = 0;
+    while rejections < 2 {
+        if let swiftlb::iax2::frame::Frame::Full(frame) = phone.raw()
+            && frame.is(iax::REJECT)
+        {
+            assert_eq!(frame.again, rejections == 1);
+            rejections += 1;
+        }
+    }
+    assert!(switch.thread.take().expect("it ran").join().expect("it did not panic"));
+}
+
 /// The same script for a caller of either front: the first attempt is reset, the second one answered.
 fn reset_then_answer(lines: &mut [Lines; 2]) -> String {
     let call = lines[0].next().expect("a set-up").text("uid");
