--- a/src/iax2/mod.rs
+++ b/src/iax2/mod.rs
@@ -25,6 +25,8 @@
 const REMEMBER: Duration = Duration::from_secs(5);
 /// Calls that callers may have open at once; more would cost memory that the platform limits.
 const MOST_CALLERS: usize = 4_096;
+/// Legs of all kinds, those that wait for an acknowledgement of their end included.
+const MOST_LEGS: usize = 3 * MOST_CALLERS;
 /// Highest call number.
 const LAST_NUMBER: u16 = 0x7fff;
 /// Number under which a poke is answered; no call has it.
@@ -327,13 +329,16 @@
         if matches!(line.role, Role::Node(_)) && line.leg.remote == source {
             self.by_remote.insert((line.peer, source), number);
         }
-        let done = line.state == State::Closing && line.leg.is_quiet();
         match heard {
             Some(Heard::Invalid) => self.lost(number, now, out),
             Some(Heard::Frame(frame)) => self.deliver(now, number, frame, out),
-            _ if done => drop(self.remove(number, now)),
             _ => {}
         }
+        // Whatever frame it was that acknowledged the last message: nothing else would ever wake this leg.
+        let over = |line: &Line| line.state == State::Closing && line.leg.is_quiet();
+        if self.lines.get(&number).is_some_and(over) {
+            self.remove(number, now);
+        }
     }
 
     /// A set-up from a caller.
@@ -342,6 +347,10 @@
         if self.recent.get(&remote).is_some_and(|(stamp, until)| *stamp == frame.timestamp && now < *until) {
             return;
         }
+        if self.lines.len() >= MOST_LEGS {
+            // Not even a rejection can be afforded; the caller repeats its set-up.
+            return;
+        }
         let Some(number) = self.free_number() else { return };
         self.names = self.names.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let call = CallName::from_u64(scattered(self.names));
@@ -449,6 +458,8 @@
                 let (outcome, reason) = end_of(&why);
                 out.inputs.push(Input::Ended { conn, call, outcome, reason });
             }
+            // Never answered in kind: two ends that do so would go on for ever.
+            (Kind::Iax, iax::UNSUPPORT, _) => {}
             (Kind::Iax, subclass, _) => {
                 let unknown = Some(subclass as u8);
                 let payload = Elements { unknown, ..Elements::default() }.write();
