Shed on the wait on top of the way to an exchange, not on the way itself

The state behind each refusal: n0 refused calls to an exchange with 150 circuits free and nothing out, because it expected 80 to 95 ms there and sheds cheap calls at 76 ms; 65 ms of that are the way there and back. Once shed, nothing new was learned, and the refusals went on for a second. Cause: decide.rs, admit(): the limit is a part of the wanted time, but was compared with the whole expected set-up time. It is compared now with the wait on top of the shortest time in which a call stood there. Test in module.rs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -163,6 +163,8 @@
     full_at: f64,
     delay: f64,
     delay_at: f64,
+    /// Shortest time in which a call of ours stood there: the way itself, which no shedding makes shorter.
+    floor: f64,
     out: BTreeMap<CallId, f64>,
     /// Own sends a second there before it last started: what is sent while it is cold must not raise its
     /// budget.
@@ -257,6 +259,9 @@
             Event::Call(call) => self.take(call, actions),
             Event::Stands { call, attempt, exchange, took_ms } => {
                 self.settle(call, exchange, took_ms);
+                if let Some(there) = self.exchanges.get_mut(&exchange).filter(|_| took_ms > 0.0) {
+                    there.floor = there.floor.min(took_ms);
+                }
                 if let Some(held) = self.calls.get_mut(&call).filter(|held| held.attempts == attempt + 1) {
                     held.phase = Phase::Standing;
                     if let Some(tandem) = self.exchanges.get_mut(&exchange).filter(|e| e.number != held.dest)
@@ -674,7 +679,14 @@
         let rank = class.worth / self.top_worth;
         let patience = class.aim_ms.min(call.deadline - self.now);
         let limit = patience * (SHED_CHEAP_AT + (SHED_AT - SHED_CHEAP_AT) * rank);
-        self.backlog() < limit && way.iter().all(|to| self.expected(*to) < limit)
+        // What counts is the wait on top of the way itself: where the way alone takes a good part of the wanted
+        // time, a healthy exchange would else be shed for being far.
+        let wait = |to: &ExchangeId| {
+            let floor =
+                self.exchanges.get(to).map_or(0.0, |e| if e.floor < f64::MAX { e.floor } else { 0.0 });
+            self.expected(*to) - floor
+        };
+        self.backlog() < limit && way.iter().all(|to| wait(to) < limit)
     }
 
     /// Rule 4. Set-ups that a cold exchange may still be sent by this agent; one is needed for a send. They
@@ -733,6 +745,7 @@
                 full_at: f64::MIN,
                 delay: 0.0,
                 delay_at: 0.0,
+                floor: f64::MAX,
                 out: BTreeMap::new(),
                 usual: 0.0,
                 credit: 0.0,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -473,6 +473,8 @@
 #[test]
 fn a_refused_connection_does_not_make_a_slow_exchange_look_quick() {
     let mut host = Host::mesh(3, 1);
+    assert_eq!(host.call(9, 0, 1).sent_to(), Some(1));
+    host.stands(9, 1, 10.0);
     (1..=3).for_each(|call| assert_eq!(host.call(call, 0, 1).sent_to(), Some(1)));
     host.pass(900.0);
     host.stands(1, 1, 900.0);
@@ -492,3 +494,18 @@
         host.outcome(call, 0, 1, Outcome::NoConnection, Reason::None);
     }
 }
+
+#[test]
+fn a_healthy_exchange_is_not_shed_for_being_far() {
+    let mut host = Host::mesh(3, 1);
+    for call in 1..=20 {
+        // 300 ms of a wanted 1,000 ms, every time: nothing waits there.
+        assert_eq!(host.call(call, 0, 1).sent_to(), Some(1), "call {call}");
+        host.pass(300.0);
+        host.stands(call, 1, 300.0);
+    }
+    (21..=22).for_each(|call| assert_eq!(host.call(call, 0, 1).sent_to(), Some(1)));
+    host.pass(900.0);
+    (21..=22).for_each(|call| host.stands(call, 1, 900.0));
+    assert_eq!(host.call(23, 0, 1).sent_to(), None, "600 ms of wait on top are too many");
+}
