Test the program as it is started, and say on which address it serves

Tests of the sub-commands, of both files, of the platform's IAX2 file being off, and of SIGTERM on a real process.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -125,6 +125,12 @@
     /// If something that it cannot do without is not to be had.
     pub fn run(self) -> Result<(), ServeError> {
         let Self { config, listener, handsets, inbox, sender } = self;
+        if let Ok(address) = listener.local_addr() {
+            eprintln!("swiftlb: {} serves on {address}", config.name);
+        }
+        if let Some(address) = handsets.as_ref().and_then(|(_, socket)| socket.local_addr().ok()) {
+            eprintln!("swiftlb: IAX2 on {address}");
+        }
         let to_loop = sender.clone();
         small_thread("accept", move || accept(&listener, &to_loop)).map_err(system("accept thread"))?;
         follow_resolver(&config, &sender)?;
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,80 @@
+//! The program as it is started: its sub-commands, its files, and the order to stop.
+
+#[path = "common/desk.rs"]
+mod desk;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::process::{Command, Output, Stdio};
+
+use swiftlb::iax2::Iax2Config;
+
+fn swiftlb(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_swiftlb"));
+    command.args(words).env_remove("NODE_CONFIG").current_dir(env!("CARGO_MANIFEST_DIR"));
+    command.output().expect("it starts")
+}
+
+fn said(output: &Output) -> (bool, String) {
+    (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+#[test]
+fn the_sub_commands_do_what_the_readme_says() {
+    assert_eq!(said(&swiftlb(&["version"])), (true, format!("swiftlb {}\n", env!("CARGO_PKG_VERSION"))));
+    let toy = ["check-config", "examples/toy/config.json", "--iax2", "examples/toy/iax2.json"];
+    assert_eq!(
+        said(&swiftlb(&toy)),
+        (true, "toy: 3 exchanges, 2 classes\nIAX2 on 127.0.0.1:4569\n".to_owned())
+    );
+    let (fine, text) = said(&swiftlb(&["check-config", "examples/toy/config.json"]));
+    assert!(fine && text.ends_with("IAX2 off\n"), "the platform's own file must leave it off: {text}");
+    let log = std::env::temp_dir().join(format!("swiftlb-cli-{}.log", std::process::id()));
+    let line = "h - - [01/Jul/2026:10:00:01 +0000] \"GET /parts/3 HTTP/1.1\" 200 5\n";
+    std::fs::write(&log, line).expect("a file");
+    let path = log.to_str().expect("a path");
+    assert!(said(&swiftlb(&["load", path])).1.starts_with("calls      1 (1 served, 0 not readable)\n"));
+    let (fine, setups) = said(&swiftlb(&["load", "--setups", "--times", "--dest", "2", path]));
+    assert!(
+        fine && setups.starts_with("0.000\t{\"kind\":\"launch\"") && setups.contains("dest:2;"),
+        "{setups}"
+    );
+    std::fs::remove_file(&log).expect("it was there");
+}
+
+#[test]
+fn what_cannot_be_done_is_said_and_is_a_failure() {
+    for words in [&["serve"][..], &["nonsense"], &["load"], &["check-config", "README.md"], &["--nonsense"]] {
+        let output = swiftlb(words);
+        assert!(!output.status.success() && output.stderr.starts_with(b"swiftlb: "), "{words:?}: {output:?}");
+    }
+    for wrong in
+        ["{}", "[]", r#"{"enabled":1}"#, r#"{"enabled":true,"listen":"here","contexts":[],"nodes":[]}"#]
+    {
+        assert!(Iax2Config::parse(wrong).is_err(), "{wrong}");
+    }
+}
+
+#[test]
+fn a_started_program_passes_a_test_and_ends_well_on_sigterm() {
+    let file = std::env::temp_dir().join(format!("swiftlb-serve-{}.json", std::process::id()));
+    let text = desk::config_text("127.0.0.1:0", "127.0.0.1:9", &["127.0.0.1:9".to_owned()]);
+    std::fs::write(&file, text).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_swiftlb"));
+    command.env("NODE_CONFIG", &file).stderr(Stdio::piped());
+    let mut child = command.spawn().expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
+    let line = log.next().expect("a line").expect("text");
+    let address = line.strip_prefix("swiftlb: n0 serves on ").expect("its address").to_owned();
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream
+        .write_all(b"{\"kind\":\"check\",\"uid\":\"0000000000000001\",\"meta\":{},\"reason\":0}\n")
+        .expect("sent");
+    let mut answer = String::new();
+    BufReader::new(stream).read_line(&mut answer).expect("a line");
+    assert_eq!(answer, "{\"kind\":\"checked\",\"uid\":\"0000000000000001\",\"meta\":{},\"reason\":1}\n");
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("it runs").success());
+    assert!(child.wait().expect("it ends").success());
+    std::fs::remove_file(&file).expect("it was there");
+}
