--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -322,6 +322,38 @@
     assert!(owed.iter().all(|frame| !frame.counts()), "told after hanging up: {owed:?}");
 }
 
+#[test]
+fn a_caller_hangs_up_while_its_set_up_waits_at_a_stalled_exchange_on_json_lines() {
+    let (switch, lines) = two_exchanges();
+    let (mut one, mut two) = pass_on(lines, 0);
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "17");
+    let call = one.next().expect("a set-up").text("uid");
+    phone.hang_up(16);
+    assert_eq!(one.expect("stop", &call).cause(), 16.0);
+    one.send(&running(&call));
+    let owed = phone.before_pong();
+    assert!(owed.iter().all(|frame| !frame.counts()), "told after hanging up: {owed:?}");
+    two.quiet_exchange();
+}
+
+#[test]
+fn the_release_pause_is_kept_after_an_iax2_node_has_reset_a_set_up() {
+    let (switch, mut node, mut two) = node_and_exchange();
+    let mut phone = Phone::new(20);
+    phone.call(switch.handsets.expect("it is on"), "1");
+    node.expect(Kind::Iax, iax::NEW);
+    let (setup, waited) = timed(|| {
+        node.send(Kind::Iax, iax::HANGUP, Elements::of_cause(41, "").write());
+        two.next().expect("a set-up")
+    });
+    assert!(waited >= PAUSE, "{waited:?}");
+    two.send(&running(&setup.text("uid")));
+    phone.expect(Kind::Iax, iax::ACCEPT);
+    phone.expect(Kind::Control, control::ANSWER);
+    assert!(phone.before_pong().iter().all(|frame| !frame.counts()), "more than one final outcome");
+}
+
 #[test]
 fn a_stalled_node_costs_an_iax2_caller_one_rejection_at_its_classs_deadline() {
     let (switch, mut node, _two) = node_and_exchange();
