--- a/src/decide.rs
+++ b/src/decide.rs
@@ -413,8 +413,8 @@
                 leg.absent_until = self.now + ABSENT_MS;
             }
         }
-        // Nothing was sent, so nothing is taken. No news says so where news comes on the connection that failed:
-        // the group would look full after some calls, and its exchange would have lost its usual rate.
+        // Nothing was sent, so nothing is taken. No news says so where news comes on the connection that
+        // failed: the group would look full after some calls, and its exchange would lose its usual rate.
         if outcome == Outcome::NoConnection
             && let Some(free) = self.exchanges.get_mut(&at).and_then(|e| e.free.as_mut())
         {
@@ -679,8 +679,8 @@
         let rank = class.worth / self.top_worth;
         let patience = class.aim_ms.min(call.deadline - self.now);
         let limit = patience * (SHED_CHEAP_AT + (SHED_AT - SHED_CHEAP_AT) * rank);
-        // What counts is the wait on top of the way itself: where the way alone takes a good part of the wanted
-        // time, a healthy exchange would else be shed for being far.
+        // What counts is the wait on top of the way itself: where the way alone takes a good part of the
+        // wanted time, a healthy exchange would else be shed for being far.
         let wait = |to: &ExchangeId| {
             let floor =
                 self.exchanges.get(to).map_or(0.0, |e| if e.floor < f64::MAX { e.floor } else { 0.0 });
