Read the configuration again on SIGHUP and follow only whole, later lists

Checked: main.rs installed a handler for SIGTERM alone, so SIGHUP had its default action. Read besides, in net/dns.rs: follow took any serial that differed, an older one too; read_answer left out targets whose records were missing, so that a list with a hole cut all calls at an exchange that lives; and an answer slower than one turn of 100 ms never counted, as only the last id did. Ids were counted on, so another one could be the next.

Now: Input::Reload goes through the reducer, settings are taken whole or refused, calls, exchanges, beliefs and the serial live on, the resolver's thread is told the new address. Lists count if later (RFC 1982) and whole.

--- a/src/config.rs
+++ b/src/config.rs
@@ -40,7 +40,7 @@
 }
 
 /// Everything that a softswitch is told.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// Its name.
     pub name: String,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -215,17 +215,7 @@
     /// # Errors
     /// If the settings make no sense; the error says which.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        if settings.classes.is_empty() {
-            return Err(SettingsError("there is no class of call"));
-        }
-        if settings.classes.iter().any(|c| !(c.width > 0.0 && c.hold_ms > 0.0 && c.aim_ms > 0.0)) {
-            return Err(SettingsError("a class has no width, no length or no wanted time"));
-        }
-        if settings.try_limit == 0 {
-            return Err(SettingsError("no call may be attempted (try limit 0)"));
-        }
-        let top_value = settings.classes.iter().map(circuit_value).fold(f64::MIN_POSITIVE, f64::max);
-        let top_worth = settings.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max);
+        let (top_value, top_worth) = tops(&settings)?;
         Ok(Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
@@ -247,6 +237,21 @@
         })
     }
 
+    /// Goes on with other settings; what is known and held lives on. Each class of the old settings has a
+    /// place in the new ones, or none: calls of such a class count as the first one's.
+    ///
+    /// # Errors
+    /// If the new settings make no sense; the old ones then stay.
+    pub fn reconfigure(&mut self, settings: Settings, places: &[Option<usize>]) -> Result<(), SettingsError> {
+        (self.top_value, self.top_worth) = tops(&settings)?;
+        for call in self.calls.values_mut() {
+            let place = places.get(call.class).copied().flatten().unwrap_or(0);
+            call.class = place.min(settings.classes.len() - 1);
+        }
+        self.set = settings;
+        Ok(())
+    }
+
     /// Takes one event at this time (ms) and adds the actions that answer it.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -883,6 +888,21 @@
     }
 }
 
+/// The highest worth of a class for each circuit and ms, and for each call, if the settings make sense.
+fn tops(settings: &Settings) -> Result<(f64, f64), SettingsError> {
+    if settings.classes.is_empty() {
+        return Err(SettingsError("there is no class of call"));
+    }
+    if settings.classes.iter().any(|c| !(c.width > 0.0 && c.hold_ms > 0.0 && c.aim_ms > 0.0)) {
+        return Err(SettingsError("a class has no width, no length or no wanted time"));
+    }
+    if settings.try_limit == 0 {
+        return Err(SettingsError("no call may be attempted (try limit 0)"));
+    }
+    let value = settings.classes.iter().map(circuit_value).fold(f64::MIN_POSITIVE, f64::max);
+    Ok((value, settings.classes.iter().map(|c| c.worth).fold(f64::MIN_POSITIVE, f64::max)))
+}
+
 /// A delay after some time without news.
 fn decayed(delay: f64, idle_ms: f64) -> f64 {
     delay * 0.5f64.powf(idle_ms.max(0.0) / DELAY_HALF_LIFE_MS)
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -157,16 +157,14 @@
     /// # Errors
     /// If the module can make no decisions with these settings.
     pub fn new(config: &Config, now: SystemTime, effects: &mut Vec<Effect>) -> Result<Self, SettingsError> {
-        let set = &config.settings;
-        let classes = config.classes.iter().zip(&set.classes);
         let mut engine = Self {
-            module: Controller::new(set.clone(), config.seed)?,
+            module: Controller::new(config.settings.clone(), config.seed)?,
             now,
-            classes: classes.map(|((name, most), class)| (name.clone(), class.width, *most)).collect(),
-            home: set.home,
-            try_limit: set.try_limit,
-            release_pause: span(set.release_ms),
-            drain_grace: span(set.drain_grace_ms),
+            classes: Vec::new(),
+            home: None,
+            try_limit: 0,
+            release_pause: Duration::ZERO,
+            drain_grace: Duration::ZERO,
             calls: HashMap::new(),
             by_name: HashMap::new(),
             last_call: 0,
@@ -186,6 +184,7 @@
             events: VecDeque::new(),
             draining_since: None,
         };
+        engine.configure(config);
         engine.learn_list(config.known.clone(), ListKind::Cached, effects);
         engine.run_module(effects);
         Ok(engine)
@@ -253,6 +252,7 @@
             }
             Input::GroupState { conn, report } => self.probed(conn, true, Some(report)),
             Input::Tested { conn, passed, report } => self.probed(conn, passed, report),
+            Input::Reload(config) => self.reload(config, effects),
             Input::Drain => {
                 self.draining_since.get_or_insert(self.now);
                 self.set_timer(DRAIN, Timer::Drained);
@@ -260,6 +260,30 @@
         }
     }
 
+    /// Takes a new configuration whole, or none of it. The list of exchanges is not read again: it lives on
+    /// with its serial, and the resolver tells what has changed since.
+    fn reload(&mut self, config: Box<Config>, effects: &mut Vec<Effect>) {
+        let place = |name: &String| config.classes.iter().position(|(class, _)| class == name);
+        let places: Vec<Option<usize>> = self.classes.iter().map(|(name, ..)| place(name)).collect();
+        if let Err(error) = self.module.reconfigure(config.settings.clone(), &places) {
+            effects.push(Effect::Trace(format!("configuration refused, the old one stays: {error}")));
+            return;
+        }
+        self.configure(&config);
+        effects.push(Effect::Trace(format!("configuration read again, resolver at {}", config.names)));
+        effects.push(Effect::Reconfigure(config));
+    }
+
+    fn configure(&mut self, config: &Config) {
+        let set = &config.settings;
+        let classes = config.classes.iter().zip(&set.classes);
+        self.classes = classes.map(|((name, most), class)| (name.clone(), class.width, *most)).collect();
+        self.home = set.home;
+        self.try_limit = set.try_limit;
+        self.release_pause = span(set.release_ms);
+        self.drain_grace = span(set.drain_grace_ms);
+    }
+
     fn set_timer(&mut self, delay: Duration, timer: Timer) {
         self.timer_count += 1;
         self.timers.push(Reverse((self.now + delay, self.timer_count, timer)));
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use crate::config::Config;
 use crate::interface::{ExchangeId, Number, Outcome, Readiness, Reason, Report};
 
 /// Id of a call as all parties know it: 16 hexadecimal digits, kept as they came.
@@ -205,6 +206,9 @@
         /// The report with it.
         report: Option<Report>,
     },
+    /// A new configuration, read whole: settings and the resolver's address change; calls, exchanges and all
+    /// that is known of them live on.
+    Reload(Box<Config>),
     /// Stop soon: answer what comes for a moment yet and what has been taken.
     Drain,
 }
@@ -303,6 +307,8 @@
         /// The way.
         conn: ConnId,
     },
+    /// Go on with this configuration: where the resolver is and how exchanges are reached.
+    Reconfigure(Box<Config>),
     /// A line for the log.
     Trace(String),
     /// All that was taken is answered: end the program.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
 use swiftlb::config::Config;
 use swiftlb::engine::Input;
@@ -57,9 +57,9 @@
         }
     }
     match command.as_deref().unwrap_or("serve") {
-        "serve" => serve(config(file)?, iax2(iax2_file)?),
+        "serve" => serve(&config_path(file)?, iax2(iax2_file)?),
         "check-config" => {
-            let config = config(file)?;
+            let config = Config::load(&config_path(file)?)?;
             println!("{}: {} exchanges, {} classes", config.name, config.known.len(), config.classes.len());
             match iax2(iax2_file)? {
                 Some(iax2) => println!("IAX2 on {}", iax2.listen),
@@ -114,12 +114,11 @@
     Ok(())
 }
 
-fn config(file: Option<String>) -> Result<Config, Box<dyn Error>> {
-    let path = match file {
-        Some(path) => path,
-        None => std::env::var("NODE_CONFIG").map_err(|_| "no --config and no NODE_CONFIG")?,
-    };
-    Ok(Config::load(&path)?)
+fn config_path(file: Option<String>) -> Result<String, Box<dyn Error>> {
+    match file {
+        Some(path) => Ok(path),
+        None => Ok(std::env::var("NODE_CONFIG").map_err(|_| "no --config and no NODE_CONFIG")?),
+    }
 }
 
 /// The IAX2 front's configuration. A file that is named must be there; the usual one may be missing, and the
@@ -133,13 +132,24 @@
     Ok(Iax2Config::parse(&text)?)
 }
 
-fn serve(config: Config, iax2: Option<Iax2Config>) -> Result<(), Box<dyn Error>> {
-    let server = Server::bind(config, iax2)?;
-    let to_loop = server.sender();
-    let mut signals = Signals::new([SIGTERM])?;
+fn serve(path: &str, iax2: Option<Iax2Config>) -> Result<(), Box<dyn Error>> {
+    // First of all: until they are handled, either signal ends the process without a word.
+    let mut signals = Signals::new([SIGTERM, SIGHUP])?;
+    let server = Server::bind(Config::load(path)?, iax2)?;
+    let (to_loop, path) = (server.sender(), path.to_owned());
     swiftlb::net::connection::small_thread("signals", move || {
-        for _ in signals.forever() {
-            if to_loop.send(Message::Input(Input::Drain)).is_err() {
+        for signal in signals.forever() {
+            let input = match signal {
+                SIGHUP => match Config::load(&path) {
+                    Ok(config) => Input::Reload(Box::new(config)),
+                    Err(error) => {
+                        eprintln!("swiftlb: configuration refused, the old one stays: {error}");
+                        continue;
+                    }
+                },
+                _ => Input::Drain,
+            };
+            if to_loop.send(Message::Input(input)).is_err() {
                 return;
             }
         }
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -1,9 +1,13 @@
 //! The resolver's client: asks for the whole list of exchanges over and over and tells what is new.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use crossbeam_channel::Receiver;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use simple_dns::rdata::RData;
 use simple_dns::{CLASS, Name, Packet, PacketFlag, QCLASS, QTYPE, Question, TYPE};
 use thiserror::Error;
@@ -19,6 +23,9 @@
 /// Time between two queries: an event counts as told with its first answer and after 1.5 s at the latest, so
 /// each must be seen long before that, lost datagrams included.
 const EVERY: Duration = Duration::from_millis(100);
+/// Queries whose answers are still taken, newest last: an answer that took longer than one turn is as good as
+/// a quick one, since serials say which of two is newer.
+const AWAITED: usize = 20;
 
 /// What is wrong with an answer.
 #[derive(Debug, Error)]
@@ -35,6 +42,9 @@
     /// No SOA record says which event is the last.
     #[error("answer without a serial")]
     NoSerial,
+    /// It lists nothing, or records of something that it lists are missing.
+    #[error("answer is not whole")]
+    Partial,
 }
 
 /// A query for the list.
@@ -49,14 +59,24 @@
     packet.build_bytes_vec()
 }
 
-/// Reads an answer: the number of the last event and the list after it. An exchange whose records are not
-/// whole is not listed.
+/// Whether one serial is later than another (RFC 1982): they count round, and a late or repeated answer may
+/// hold an older list, which must not undo what a newer one has told.
+pub fn is_later(serial: u32, than: u32) -> bool {
+    (1..1 << 31).contains(&serial.wrapping_sub(than))
+}
+
+/// Reads an answer to one of these queries: the number of the last event and the list after it.
 ///
 /// # Errors
-/// If it cannot be read, answers another query, or holds no serial.
-pub fn read_answer(id: u16, bytes: &[u8], zones: &[String]) -> Result<(u32, Vec<Entry>), AnswerError> {
+/// If it cannot be read, answers another query, or holds no serial or no whole list: an exchange that is not
+/// listed counts as gone, so a list with a hole in it would cut all calls there.
+pub fn read_answer(
+    awaited: &[u16],
+    bytes: &[u8],
+    zones: &[String],
+) -> Result<(u32, Vec<Entry>), AnswerError> {
     let packet = Packet::parse(bytes)?;
-    if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) {
+    if !awaited.contains(&packet.id()) || !packet.has_flags(PacketFlag::RESPONSE) {
         return Err(AnswerError::Stray);
     }
     if packet.rcode() != simple_dns::RCODE::NoError || packet.has_flags(PacketFlag::TRUNCATION) {
@@ -91,30 +111,64 @@
         })
     };
     let entries = packet.answers.iter().filter_map(|record| match &record.rdata {
-        RData::SRV(srv) => entry(&srv.target, srv.port, srv.priority),
+        RData::SRV(srv) => Some(entry(&srv.target, srv.port, srv.priority)),
         _ => None,
     });
-    Ok((serial, entries.collect()))
+    let entries: Vec<Entry> = entries.collect::<Option<_>>().ok_or(AnswerError::Partial)?;
+    if entries.is_empty() { Err(AnswerError::Partial) } else { Ok((serial, entries)) }
 }
 
-/// Asks for ever, and hands on each list with a new serial. Ends when `news` says so.
+/// Where the list is to be had, and the zones that its names lie in.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Address of the resolver.
+    pub resolver: SocketAddr,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+}
+
+impl Source {
+    fn socket(&self) -> std::io::Result<UdpSocket> {
+        let any: SocketAddr =
+            if self.resolver.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+        let socket = UdpSocket::bind(any)?;
+        socket.connect(self.resolver)?;
+        Ok(socket)
+    }
+}
+
+/// Asks for ever, and hands on each list that is later than the last. `moves` says when the resolver has
+/// another address; serials go on through that. Ends when `news` says so.
 ///
 /// # Errors
-/// If no socket can be had.
+/// If no socket can be had at the start.
 pub fn follow(
-    resolver: SocketAddr,
+    mut source: Source,
     mut serial: u32,
-    zones: &[String],
+    seed: u64,
+    moves: &Receiver<Source>,
     mut news: impl FnMut(Vec<Entry>) -> bool,
 ) -> std::io::Result<()> {
-    let local: SocketAddr = if resolver.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
-    let socket = UdpSocket::bind(local)?;
-    socket.connect(resolver)?;
+    let mut socket = source.socket()?;
     let mut buffer = vec![0; LARGEST];
-    let mut id = std::process::id() as u16;
+    let mut ids = Pcg64Mcg::seed_from_u64(seed);
+    let mut awaited: VecDeque<u16> = VecDeque::with_capacity(AWAITED);
     loop {
-        id = id.wrapping_add(1);
+        if let Some(moved) = moves.try_iter().last() {
+            match moved.socket() {
+                Ok(opened) => {
+                    (socket, source) = (opened, moved);
+                    awaited.clear();
+                }
+                Err(error) => eprintln!("swiftlb: resolver at {}: {error}", moved.resolver),
+            }
+        }
         let asked = SystemTime::now();
+        let id = ids.random();
+        if awaited.len() == AWAITED {
+            awaited.pop_front();
+        }
+        awaited.push_back(id);
         if let Ok(query) = query(id) {
             // A query that is refused or lost is repeated at the next turn.
             let _ = socket.send(&query);
@@ -134,8 +188,9 @@
                     continue;
                 }
             };
-            if let Ok((last, entries)) = read_answer(id, &buffer[..length], zones)
-                && last != serial
+            if let Ok((last, entries)) =
+                read_answer(awaited.make_contiguous(), &buffer[..length], &source.zones)
+                && is_later(last, serial)
             {
                 serial = last;
                 if !news(entries) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use crate::iax2::{Endpoint, Iax2Config, Output};
 use crate::interface::Number;
 use connection::{Ending, Outlet, small_thread};
+use dns::Source;
 use jsonl::{Cut, FromCaller, FromExchange, LineError};
 
 pub mod connection;
@@ -27,6 +28,8 @@
 
 /// Inputs that may wait for the reducer; readers wait beyond that.
 const WAITING: usize = 4_096;
+/// New addresses of the resolver that may wait for its thread, which looks ten times a second.
+const MOVES: usize = 16;
 /// The one link of all IAX2 callers; connections count on from it.
 const HANDSETS: LinkId = 0;
 /// How long the last frames on IAX2 legs are repeated at the end, if nobody acknowledges them.
@@ -133,7 +136,7 @@
         }
         let to_loop = sender.clone();
         small_thread("accept", move || accept(&listener, &to_loop)).map_err(system("accept thread"))?;
-        follow_resolver(&config, &sender)?;
+        let source = follow_resolver(&config, &sender)?;
         let mut inputs = VecDeque::new();
         let handsets = match handsets {
             Some((iax2, socket)) => {
@@ -153,6 +156,7 @@
             connect_timeout: config.connect_timeout,
             // Callers hold at most a third of the descriptors; the rest is for exchanges and growth.
             most_links: config.sockets / 2,
+            source,
             sender,
             links: HashMap::new(),
             conns: HashMap::new(),
@@ -192,18 +196,21 @@
     }
 }
 
-/// Starts the thread that follows the list of exchanges.
-fn follow_resolver(config: &Config, sender: &Sender<Message>) -> Result<(), ServeError> {
-    let (names, serial, zones, to_loop) = (config.names, config.serial, config.zones.clone(), sender.clone());
+/// Starts the thread that follows the list of exchanges, and says how to tell it that the resolver has moved.
+fn follow_resolver(config: &Config, sender: &Sender<Message>) -> Result<Sender<Source>, ServeError> {
+    let source = Source { resolver: config.names, zones: config.zones.clone() };
+    let (serial, seed, to_loop) = (config.serial, config.seed, sender.clone());
+    let (mover, moves) = bounded(MOVES);
     let follow = move || {
         let news = |list| to_loop.send(Message::Input(Input::List(list))).is_ok();
-        if let Err(error) = dns::follow(names, serial, &zones, news) {
+        if let Err(error) = dns::follow(source, serial, seed, &moves, news) {
             eprintln!("swiftlb: resolver: {error}");
         }
     };
     // The message parser of the resolver keeps its work on the stack; it gets a roomier one.
     let builder = std::thread::Builder::new().name("resolver".to_owned()).stack_size(4 * connection::STACK);
-    builder.spawn(follow).map(drop).map_err(system("resolver thread"))
+    builder.spawn(follow).map_err(system("resolver thread"))?;
+    Ok(mover)
 }
 
 fn read_datagrams(socket: &UdpSocket, to_loop: &Sender<Message>) {
@@ -251,6 +258,7 @@
     report: Arc<[String]>,
     connect_timeout: Duration,
     most_links: usize,
+    source: Sender<Source>,
     sender: Sender<Message>,
     links: HashMap<LinkId, Outlet>,
     conns: HashMap<ConnId, Outlet>,
@@ -362,6 +370,16 @@
                 Some(outlet) => outlet.cut(),
                 None => self.on_handsets(|h, _| h.endpoint.close(SystemTime::now(), conn)),
             },
+            Effect::Reconfigure(config) => {
+                let config = *config;
+                self.report = config.report.into();
+                self.connect_timeout = config.connect_timeout;
+                self.most_links = config.sockets / 2;
+                let moved = Source { resolver: config.names, zones: config.zones };
+                if self.source.try_send(moved).is_err() {
+                    eprintln!("swiftlb: the resolver's new address came while too many others wait");
+                }
+            }
             Effect::Trace(text) => eprintln!("swiftlb: {text}"),
             Effect::Exit => {
                 self.done.get_or_insert(SystemTime::now() + LAST_REPEATS);
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -4,8 +4,9 @@
 mod desk;
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
 use std::process::{Command, Output, Stdio};
+use std::time::Duration;
 
 use swiftlb::iax2::Iax2Config;
 
@@ -56,25 +57,46 @@
 }
 
 #[test]
-fn a_started_program_passes_a_test_and_ends_well_on_sigterm() {
+fn a_started_program_reads_its_configuration_again_on_sighup_and_ends_well_on_sigterm() {
     let file = std::env::temp_dir().join(format!("swiftlb-serve-{}.json", std::process::id()));
-    let text = desk::config_text("127.0.0.1:0", "127.0.0.1:9", &["127.0.0.1:9".to_owned()]);
-    std::fs::write(&file, text).expect("a file");
+    let resolvers = [0, 1].map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port"));
+    let text = resolvers.each_ref().map(|resolver| {
+        resolver.set_read_timeout(Some(Duration::from_secs(8))).expect("a time-out");
+        let names = resolver.local_addr().expect("an address").to_string();
+        desk::config_text("127.0.0.1:0", &names, &["127.0.0.1:9".to_owned()])
+    });
+    std::fs::write(&file, &text[0]).expect("a file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_swiftlb"));
     command.env("NODE_CONFIG", &file).stderr(Stdio::piped());
     let mut child = command.spawn().expect("it starts");
     let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
     let line = log.next().expect("a line").expect("text");
     let address = line.strip_prefix("swiftlb: n0 serves on ").expect("its address").to_owned();
-    let mut stream = TcpStream::connect(address).expect("it listens");
-    stream
-        .write_all(b"{\"kind\":\"check\",\"uid\":\"0000000000000001\",\"meta\":{},\"reason\":0}\n")
-        .expect("sent");
-    let mut answer = String::new();
-    BufReader::new(stream).read_line(&mut answer).expect("a line");
-    assert_eq!(answer, "{\"kind\":\"checked\",\"uid\":\"0000000000000001\",\"meta\":{},\"reason\":1}\n");
+    let passes_a_test = || {
+        let mut stream = TcpStream::connect(&address).expect("it listens");
+        stream
+            .write_all(b"{\"kind\":\"check\",\"uid\":\"0000000000000001\",\"meta\":{},\"reason\":0}\n")
+            .expect("sent");
+        let mut answer = String::new();
+        BufReader::new(stream).read_line(&mut answer).expect("a line");
+        assert_eq!(answer, "{\"kind\":\"checked\",\"uid\":\"0000000000000001\",\"meta\":{},\"reason\":1}\n");
+    };
+    passes_a_test();
     let id = child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("it runs").success());
+    let signal =
+        |name: &str| assert!(Command::new("kill").args([name, &id]).status().expect("it runs").success());
+    // The first resolver is asked, and after the order the second; a file that makes no sense changes nothing.
+    resolvers[0].recv(&mut [0; 512]).expect("a query");
+    std::fs::write(&file, "{").expect("a file");
+    signal("-HUP");
+    let line = log.next().expect("a line").expect("text");
+    assert!(line.contains("configuration refused"), "{line}");
+    passes_a_test();
+    std::fs::write(&file, &text[1]).expect("a file");
+    signal("-HUP");
+    resolvers[1].recv(&mut [0; 512]).expect("a query");
+    passes_a_test();
+    signal("-TERM");
     assert!(child.wait().expect("it ends").success());
     std::fs::remove_file(&file).expect("it was there");
 }
--- a/tests/common/desk.rs
+++ b/tests/common/desk.rs
@@ -47,6 +47,11 @@
     )
 }
 
+pub fn config(exchanges: usize) -> Config {
+    let addresses: Vec<String> = (0..exchanges).map(|i| format!("10.0.0.{}:5070", i + 1)).collect();
+    Config::parse(&config_text("127.0.0.1:0", "127.0.0.1:53", &addresses)).expect("a configuration")
+}
+
 /// The link on which the desk's calls come.
 pub const LINK: LinkId = 7;
 
@@ -88,9 +93,7 @@
     }
 
     pub fn unconnected(exchanges: usize) -> Self {
-        let addresses: Vec<String> = (0..exchanges).map(|i| format!("10.0.0.{}:5070", i + 1)).collect();
-        let text = config_text("127.0.0.1:0", "127.0.0.1:53", &addresses);
-        let config = Config::parse(&text).expect("a configuration");
+        let config = config(exchanges);
         let now = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
         let mut seen = Vec::new();
         let engine = Engine::new(&config, now, &mut seen).expect("settings that make sense");
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -179,6 +179,41 @@
     assert_eq!(desk.told(2), [FAILED]);
 }
 
+#[test]
+fn a_new_configuration_changes_settings_and_resolver_and_loses_no_call() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 2, 2_000);
+    desk.call(2, 1, 2_000);
+    desk.answer(2, 1);
+    let mut config = desk::config(3);
+    config.names = "127.0.0.9:53".parse().expect("an address");
+    config.classes.reverse();
+    config.settings.classes.reverse();
+    config.settings.max_retry_after_ms = 50.0;
+    let config = Box::new(config);
+    let ways = desk.ways.len();
+    desk.put(Input::Reload(config.clone()));
+    assert!(desk.seen.contains(&Effect::Reconfigure(config.clone())));
+    assert_eq!((desk.ways.len(), desk.engine.calls()), (ways, 2), "nothing is dialled or lost");
+    desk.answer(1, 2);
+    desk.end(2, 1, Outcome::Ended, Reason::None);
+    assert_eq!((desk.told(1).len(), desk.told(2).last()), (1, Some(&CallerWord::Released { cut: false })));
+    desk.put(Input::GroupState { conn: desk.way(2), report: vec![0.0, 10.0] });
+    desk.put(Input::GroupState { conn: desk.way(1), report: vec![0.0, 10.0] });
+    desk.call(3, 2, 2_000);
+    let refused = CallerWord::Refused { wait: Duration::from_millis(50) };
+    assert_eq!(desk.told(3), std::slice::from_ref(&refused));
+    // One that makes no sense is refused whole: neither its settings nor its resolver count.
+    let mut wrong = config;
+    wrong.settings.try_limit = 0;
+    wrong.settings.max_retry_after_ms = 0.0;
+    desk.seen.clear();
+    desk.put(Input::Reload(wrong));
+    assert!(!desk.seen.iter().any(|effect| matches!(effect, Effect::Reconfigure(_))));
+    desk.call(4, 2, 2_000);
+    assert_eq!(desk.told(4), [refused]);
+}
+
 #[test]
 fn a_drain_goes_on_serving_and_ends_when_all_is_answered() {
     let mut desk = Desk::new(3);
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -79,7 +79,7 @@
     }
     let garbage = |bytes: Vec<u8>| {
         let _ = (read_caller(&bytes, UNIX_EPOCH), read_exchange(&bytes, &report()));
-        let _ = (dns::read_answer(1, &bytes, &[]), read(&bytes), Elements::read(&bytes));
+        let _ = (dns::read_answer(&[1], &bytes, &[]), read(&bytes), Elements::read(&bytes));
         let text = String::from_utf8_lossy(&bytes);
         prop_assert!(Config::parse(&text).is_err());
         Ok(())
@@ -184,14 +184,20 @@
     let mut bytes: Vec<u8> = (0..hex.len() / 2).map(digits).collect();
     bytes[11] = 2; // The recording ends after the records of the first target.
     let zones = ["graz".to_owned(), "wien".to_owned()];
-    let (serial, list) = dns::read_answer(0x1234, &bytes, &zones).expect("an answer");
-    assert_eq!((serial, list.len()), (1, 1), "targets without records are not listed");
+    // An exchange that is not listed counts as gone, so an answer that lacks records of one is none at all.
+    assert!(matches!(dns::read_answer(&[0x1234], &bytes, &zones), Err(dns::AnswerError::Partial)));
+    // The same without the two targets of which nothing more is said.
+    let (first, second) = (12 + 26 + 41, 12 + 26 + 3 * 41);
+    bytes.drain(first..second);
+    bytes[7] = 1;
+    let (serial, list) = dns::read_answer(&[7, 0x1234], &bytes, &zones).expect("an answer");
+    assert_eq!((serial, list.len()), (1, 1));
     assert_eq!((&*list[0].name, list[0].number, list[0].zone), ("s-0fea4956", 1, 1));
     assert_eq!(list[0].address, "127.8.1.1:5070".parse().expect("an address"));
     assert_eq!((list[0].born, list[0].readiness), (None, Readiness::Ready));
-    assert!(dns::read_answer(0x1235, &bytes, &zones).is_err(), "an answer to another query");
+    assert!(dns::read_answer(&[0x1235], &bytes, &zones).is_err(), "an answer to another query");
     for end in 0..bytes.len() {
-        assert!(dns::read_answer(0x1234, &bytes[..end], &zones).is_err(), "{end}");
+        assert!(dns::read_answer(&[0x1234], &bytes[..end], &zones).is_err(), "{end}");
     }
     let query = dns::query(0x1234).expect("a query");
     assert_eq!(&query[12..], &bytes[12..12 + query.len() - 12], "the question is the one that was answered");
