--- a/src/decide.rs
+++ b/src/decide.rs
@@ -390,8 +390,9 @@
     ) {
         let proven = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Moot);
         let never_stood = self.exchanges.get(&at).is_some_and(|e| e.out.contains_key(&id));
-        // A connection that is refused takes no time at all: it says nothing of any processor's delay.
-        if never_stood && !matches!(outcome, Outcome::Moot | Outcome::NoConnection) {
+        // A connection that is refused takes no time at all, and one that breaks does so at any time: neither
+        // says anything of a processor's delay.
+        if never_stood && !matches!(outcome, Outcome::Moot | Outcome::NoConnection | Outcome::Reset) {
             self.settle(id, at, took);
         } else if let Some(exchange) = self.exchanges.get_mut(&at) {
             exchange.out.remove(&id);
@@ -434,6 +435,11 @@
             exchange.delay = exchange.delay.max(wait).max(2.0 * self.set.classes[call.class].aim_ms);
             exchange.delay_at = self.now;
         }
+        if outcome == Outcome::Reset {
+            // What breaks is mostly the way to an exchange: one that has died refuses the next attempt, and
+            // any other is reached as well as before.
+            call.tried.remove(&at);
+        }
         match outcome {
             Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
                 let until = self.now + self.set.release_ms;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -20,7 +20,7 @@
 mod peers;
 mod words;
 
-use peers::{Peer, Way};
+use peers::{Conn, Peer, Way};
 pub use words::{CallName, CallerWord, ConnId, Effect, Entry, Front, Input, LinkId, PeerWord, SetUp};
 
 /// A final answer that the module has not given this long after the caller's time is given for it: well
@@ -34,15 +34,31 @@
 const KEEP_RELEASE: Duration = Duration::from_secs(10);
 /// No way has this id.
 const NO_LINK: LinkId = LinkId::MAX;
+/// A release whose own way is gone waits this long for a way on which calls have come: a connection that has
+/// said nothing yet may never read it.
+const BETTER_WAY: Duration = Duration::from_millis(250);
+/// A connection from callers must bring its first line within this time. Callers are owed a word within 3 s.
+const FIRST_LINE: Duration = Duration::from_secs(2);
+/// A connection from callers with no call on it is closed after this time; callers themselves close it
+/// after 4 s, so whoever is still there holds it for good.
+const IDLE: Duration = Duration::from_secs(5);
+/// A connection younger than this is not closed to make room: its first line is on its way.
+const FRESH: Duration = Duration::from_millis(200);
+/// Lines that cannot be used before the connection they come on is closed.
+const MOST_MALFORMED: u32 = 4;
+/// Set-ups that may wait for an answer at once, and bytes of their descriptions: memory is bounded, and what
+/// lies beyond would not be answered in time anyway.
+const MOST_OPEN: usize = 1_000;
+const MOST_OPEN_BYTES: usize = 4 << 20;
 /// A release may prove unheard for this long after it was sent.
 const UNHEARD: Duration = Duration::from_secs(1);
 /// After the order to stop, set-ups arrive for 0.4 s on new connections and 0.2 s more on open ones.
 const DRAIN: Duration = Duration::from_millis(700);
 /// A call that is over is remembered for this long, so that what an exchange still says of it is told from
 /// news of a call that stood before this softswitch last started.
-const REMEMBER: Duration = Duration::from_secs(60);
+const REMEMBER: Duration = Duration::from_secs(30);
 /// An exchange that is gone is forgotten after this long.
-const FORGET: Duration = Duration::from_secs(120);
+const FORGET: Duration = Duration::from_secs(30);
 
 /// Milliseconds of a span, as the module counts them.
 pub fn millis(span: Duration) -> f64 {
@@ -81,6 +97,12 @@
     Redial(ExchangeId),
     /// The last words of an exchange that is gone.
     Bury(ExchangeId),
+    /// Look whether an exchange is still there.
+    Watch(ExchangeId),
+    /// A connection from callers may have been idle for too long.
+    Idle(LinkId),
+    /// Releases have waited for a better way.
+    Held,
     /// The drain may be over.
     Drained,
 }
@@ -89,8 +111,8 @@
 enum Phase {
     /// Taken, nothing out.
     Open,
-    /// One attempt out.
-    Out { to: ExchangeId, sent: SystemTime, reached: bool },
+    /// One attempt out; no way if it still waits for one.
+    Out { to: ExchangeId, sent: SystemTime, on: Option<ConnId> },
     /// It stands.
     Standing { at: ExchangeId },
 }
@@ -112,8 +134,22 @@
     busy: bool,
 }
 
+/// A way to callers.
+#[derive(Debug)]
+struct Link {
+    front: Front,
+    /// When it came up or last brought a line.
+    heard: SystemTime,
+    /// It has brought a line.
+    spoke: bool,
+    /// A call that came on it was answered by an exchange.
+    served: bool,
+    malformed: u32,
+}
+
 #[derive(Clone)]
 struct Held {
+    since: SystemTime,
     until: SystemTime,
     front: Front,
     call: CallName,
@@ -134,10 +170,15 @@
     last_call: CallId,
     peers: BTreeMap<ExchangeId, Peer>,
     by_peer_name: HashMap<Arc<str>, ExchangeId>,
-    conns: HashMap<ConnId, ExchangeId>,
+    conns: HashMap<ConnId, Conn>,
     last_conn: ConnId,
     last_peer: u32,
-    links: BTreeMap<LinkId, Front>,
+    links: BTreeMap<LinkId, Link>,
+    most_links: usize,
+    /// Set-ups without an answer, and bytes of their descriptions.
+    open: usize,
+    open_bytes: usize,
+    most_wait: Duration,
     held: VecDeque<Held>,
     /// Releases that were sent a moment ago, and on which way: it may turn out that nobody read them.
     fresh: VecDeque<(SystemTime, LinkId, Held)>,
@@ -174,6 +215,10 @@
             last_conn: 0,
             last_peer: 0,
             links: BTreeMap::new(),
+            most_links: 0,
+            open: 0,
+            open_bytes: 0,
+            most_wait: Duration::ZERO,
             held: VecDeque::new(),
             fresh: VecDeque::new(),
             over: VecDeque::new(),
@@ -200,6 +245,14 @@
         self.calls.len()
     }
 
+    /// Everything that it holds, counted: what must not grow for ever.
+    pub fn entries(&self) -> usize {
+        let peers = self.peers.values().map(|peer| 1 + peer.releases.len()).sum::<usize>();
+        let names = self.by_name.len() + self.by_peer_name.len() + self.over.len() + self.over_names.len();
+        let ways = self.conns.len() + self.links.len() + self.held.len() + self.fresh.len();
+        self.calls.len() + peers + names + ways + self.timers.len() + self.events.len()
+    }
+
     /// Takes one input at this time and adds what follows from it. Timers that are due ring first.
     pub fn handle(&mut self, now: SystemTime, input: Input, effects: &mut Vec<Effect>) {
         // The system's clock may be set back; time here never runs backwards.
@@ -218,10 +271,8 @@
     fn take(&mut self, input: Input, effects: &mut Vec<Effect>) {
         match input {
             Input::Wake => {}
-            Input::LinkUp { link, front } => {
-                self.links.insert(link, front);
-                self.send_held(effects);
-            }
+            Input::LinkUp { link, front } => self.link_up(link, front, effects),
+            Input::Spoilt { link } => self.spoil(link, effects),
             Input::LinkDown { link } => self.lose_link(link, effects),
             Input::Unheard { link } => {
                 // Guards against the loss of a release that crossed the caller's close of the connection.
@@ -230,22 +281,28 @@
                 self.fresh.retain(|(_, on, _)| *on != link);
                 self.send_held(effects);
             }
-            Input::SetUp { link, call, setup } => self.take_call(link, call, setup, effects),
+            Input::SetUp { link, call, setup } => {
+                self.heard(link, effects);
+                self.take_call(link, call, setup, effects);
+            }
             Input::Malformed { link, call } => {
-                // A call that is held keeps its one answer, whatever else comes under its id.
-                if !self.by_name.contains_key(&call) {
-                    effects.push(Effect::ToCaller { link, call, word: CallerWord::Failed { busy: false } });
-                }
+                self.heard(link, effects);
+                self.malformed(link, call, effects);
+            }
+            Input::HangUp { link, call, cause } => {
+                self.heard(link, effects);
+                self.hang_up(link, call, cause, effects);
             }
-            Input::HangUp { call, cause } => self.hang_up(call, cause, effects),
             Input::Check { link, call } => {
+                self.heard(link, effects);
                 let passed = self.draining_since.is_none();
                 effects.push(Effect::ToCaller { link, call, word: CallerWord::Checked { passed } });
             }
             Input::List(entries) => self.learn_list(entries, ListKind::Full, effects),
-            Input::Connected { conn } => self.connected(conn, effects),
+            Input::Connected { conn, bound } => self.connected(conn, bound, effects),
             Input::ConnectFailed { conn, refused } => self.connect_failed(conn, refused, effects),
-            Input::ConnectionLost { conn, reset } => self.connection_lost(conn, reset, effects),
+            Input::ConnectionLost { conn } => self.connection_lost(conn, effects),
+            Input::Alive { conn } => self.note_heard(conn),
             Input::Answered { conn, call, description } => self.answered(conn, call, description, effects),
             Input::Ended { conn, call, outcome, reason } => {
                 self.ended(conn, call, outcome, reason, effects);
@@ -282,6 +339,9 @@
         self.try_limit = set.try_limit;
         self.release_pause = span(set.release_ms);
         self.drain_grace = span(set.drain_grace_ms);
+        self.most_wait = span(set.max_retry_after_ms);
+        // Callers hold at most a third of the descriptors; the rest is for exchanges and growth.
+        self.most_links = (config.sockets / 2).max(1);
     }
 
     fn set_timer(&mut self, delay: Duration, timer: Timer) {
@@ -305,6 +365,12 @@
             }
             Timer::Redial(peer) => self.redial(peer, effects),
             Timer::Bury(peer) => self.bury(peer, effects),
+            Timer::Watch(peer) => {
+                self.forget_old();
+                self.watch(peer, effects);
+            }
+            Timer::Idle(link) => self.check_idle(link, effects),
+            Timer::Held => self.send_held(effects),
             Timer::Drained => self.try_exit(effects),
         }
     }
@@ -363,16 +429,26 @@
     // ---- calls ----
 
     fn take_call(&mut self, link: LinkId, name: CallName, setup: SetUp, effects: &mut Vec<Effect>) {
+        let Some(front) = self.links.get(&link).map(|link| link.front) else { return };
         if self.by_name.contains_key(&name) {
-            effects.push(Effect::Trace(format!("{name:?} came twice, passed over")));
-            return;
+            // A word under this id could be taken for the answer of the call that has it.
+            return self.spoil(link, effects);
         }
-        let fail = Effect::ToCaller { link, call: name, word: CallerWord::Failed { busy: false } };
         let class = self.classes.iter().position(|(class, ..)| *class == setup.class);
-        let (Some(class), Some(front)) = (class, self.links.get(&link).copied()) else {
-            effects.push(fail);
-            return;
+        // What no caller of the class can mean must not reach an exchange, which would take it for good.
+        let fits = |class: &usize| {
+            let (_, width, most) = &self.classes[*class];
+            setup.left.is_none_or(|left| left <= *most) && setup.width.is_none_or(|w| w == *width)
         };
+        let Some(class) = class.filter(fits) else { return self.malformed(link, name, effects) };
+        let bytes = setup.description.as_ref().map_or(0, |text| text.len());
+        if self.open >= MOST_OPEN || self.open_bytes + bytes > MOST_OPEN_BYTES {
+            let word = CallerWord::Refused { wait: self.most_wait };
+            effects.push(Effect::ToCaller { link, call: name, word });
+            return;
+        }
+        self.open += 1;
+        self.open_bytes += bytes;
         let (_, width, most) = &self.classes[class];
         // The clock of the caller runs from the last byte of the set-up, not from when its turn came here.
         let deadline = setup.received + setup.left.unwrap_or(*most);
@@ -421,8 +497,7 @@
         }
         let Some(call) = self.forget(id, effects) else { return };
         if released {
-            let until = self.now + KEEP_RELEASE;
-            self.release_caller(call.link, Held { until, front: call.front, call: call.name, word }, effects);
+            self.release_caller(call.link, self.held(call.front, call.name, word), effects);
         } else if self.links.contains_key(&call.link) {
             effects.push(Effect::ToCaller { link: call.link, call: call.name, word });
         }
@@ -433,26 +508,53 @@
     fn forget(&mut self, id: CallId, effects: &mut Vec<Effect>) -> Option<Call> {
         self.abandon(id, effects);
         let call = self.calls.remove(&id)?;
+        if !matches!(call.phase, Phase::Standing { .. }) {
+            self.no_longer_open(call.description.as_ref());
+        }
         self.by_name.remove(&call.name);
         if self.over_names.insert(call.name) {
             self.over.push_back((self.now, call.name));
         }
+        // The module may still hold it (overdue, link lost); it passes over an id it has ended itself.
+        self.events.push_back(Event::Left { call: id });
+        Some(call)
+    }
+
+    /// Forgets calls that have been over for long.
+    fn forget_old(&mut self) {
         while let Some((at, name)) = self.over.front().copied()
             && since(at, self.now) > REMEMBER
         {
             self.over.pop_front();
             self.over_names.remove(&name);
         }
-        // The module may still hold it (overdue, link lost); it passes over an id it has ended itself.
-        self.events.push_back(Event::Left { call: id });
-        Some(call)
+        let now = self.now;
+        self.fresh.retain(|(sent, ..)| since(*sent, now) <= UNHEARD);
+    }
+
+    fn no_longer_open(&mut self, description: Option<&Arc<str>>) {
+        self.open = self.open.saturating_sub(1);
+        self.open_bytes = self.open_bytes.saturating_sub(description.map_or(0, |text| text.len()));
+    }
+
+    fn held(&self, front: Front, call: CallName, word: CallerWord) -> Held {
+        Held { since: self.now, until: self.now + KEEP_RELEASE, front, call, word }
     }
 
-    /// Releases a call towards its caller: on the way that its set-up came on, else on any, else on the next.
+    /// Releases a call towards its caller: on the way that its set-up came on, else on one on which calls were
+    /// served or at least came, else, after a moment, on any, else on the next.
     fn release_caller(&mut self, first: LinkId, held: Held, effects: &mut Vec<Effect>) {
-        let any = || self.links.iter().find(|(_, front)| **front == held.front).map(|(link, _)| *link);
-        let link = if self.links.contains_key(&first) { Some(first) } else { any() };
+        let waited = since(held.since, self.now) >= BETTER_WAY;
+        let of_front = self.links.iter().filter(|(_, link)| link.front == held.front);
+        let best = of_front.max_by_key(|(_, link)| (link.served, link.spoke, link.heard));
+        let good = best.filter(|(_, link)| waited || link.spoke || link.front == Front::Handsets);
+        let link = if self.links.contains_key(&first) { Some(first) } else { good.map(|(link, _)| *link) };
         let Some(link) = link else {
+            if !waited {
+                self.set_timer(BETTER_WAY, Timer::Held);
+            }
+            let now = self.now;
+            self.held.retain(|held| held.until > now);
             self.held.push_back(held);
             return;
         };
@@ -476,16 +578,122 @@
     fn lose_link(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
         self.links.remove(&link);
         let open = |call: &Call| call.link == link && !matches!(call.phase, Phase::Standing { .. });
-        let mut lost: Vec<CallId> =
-            self.calls.iter().filter(|(_, call)| open(call)).map(|(id, _)| *id).collect();
-        lost.sort_unstable();
-        for id in lost {
+        for id in self.calls_where(open) {
             self.leave(id, effects);
         }
     }
 
-    fn hang_up(&mut self, name: CallName, cause: u8, effects: &mut Vec<Effect>) {
+    fn link_up(&mut self, link: LinkId, front: Front, effects: &mut Vec<Effect>) {
+        if front == Front::Platform {
+            let taken = self.links.values().filter(|link| link.front == Front::Platform).count();
+            if taken >= self.most_links && !self.make_room(effects) {
+                effects
+                    .push(Effect::Trace("no connection from callers can be closed for another".to_owned()));
+                effects.push(Effect::CloseLink { link });
+                return;
+            }
+            self.set_timer(FIRST_LINE, Timer::Idle(link));
+        }
+        let new = Link { front, heard: self.now, spoke: false, served: false, malformed: 0 };
+        self.links.insert(link, new);
+        self.send_held(effects);
+    }
+
+    /// Closes one connection from callers so that another can be taken: never one with a set-up open on it;
+    /// first those that have said nothing, then those without a call, then those whose calls stand, which are
+    /// released on any connection. Of each kind the one that has been quiet longest goes.
+    fn make_room(&mut self, effects: &mut Vec<Effect>) -> bool {
+        let mut calls: HashMap<LinkId, (bool, bool)> = HashMap::new();
+        for call in self.calls.values() {
+            let (open, standing) = calls.entry(call.link).or_default();
+            let stands = matches!(call.phase, Phase::Standing { .. });
+            *open |= !stands;
+            *standing |= stands;
+        }
+        let rank = |id: &LinkId, link: &Link| match calls.get(id).copied().unwrap_or_default() {
+            (true, _) => None,
+            (false, true) => Some(2),
+            _ if link.spoke => Some(1),
+            _ if since(link.heard, self.now) >= FRESH => Some(0),
+            _ => Some(3),
+        };
+        let platform = self.links.iter().filter(|(_, link)| link.front == Front::Platform);
+        let ranked = platform.filter_map(|(id, link)| Some((rank(id, link)?, link.heard, *id)));
+        let Some((_, _, link)) = ranked.min() else { return false };
+        self.close_link(link, effects);
+        true
+    }
+
+    fn close_link(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
+        if self.links.get(&link).is_some_and(|held| held.front == Front::Platform) {
+            self.links.remove(&link);
+            effects.push(Effect::CloseLink { link });
+        }
+    }
+
+    /// A line has come on a connection from callers.
+    fn heard(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&link) else { return };
+        link.heard = now;
+        if !std::mem::replace(&mut link.spoke, true) && !self.held.is_empty() {
+            self.send_held(effects);
+        }
+    }
+
+    /// Closes a connection from callers that says nothing, or that is held on to without a call.
+    fn check_idle(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
+        let Some(held) = self.links.get(&link) else { return };
+        let limit = if held.spoke { IDLE } else { FIRST_LINE };
+        let idle = since(held.heard, self.now);
+        if self.calls.values().any(|call| call.link == link) {
+            self.set_timer(IDLE, Timer::Idle(link));
+        } else if idle < limit {
+            self.set_timer(limit - idle, Timer::Idle(link));
+        } else {
+            self.close_link(link, effects);
+        }
+    }
+
+    /// Something that names a call but cannot be used. Callers of the platform never send such a thing, and
+    /// whoever goes on with it would keep this processor busy with answers.
+    fn malformed(&mut self, link: LinkId, name: CallName, effects: &mut Vec<Effect>) {
+        if self.by_name.contains_key(&name) {
+            return self.spoil(link, effects);
+        }
+        effects.push(Effect::ToCaller { link, call: name, word: CallerWord::Failed { busy: false } });
+        let Some(held) = self.links.get_mut(&link) else { return };
+        held.malformed += 1;
+        if held.malformed >= MOST_MALFORMED {
+            self.spoil(link, effects);
+        }
+    }
+
+    /// A connection from callers is of no further use. The set-ups open on it get their one answer, then it
+    /// is closed; a call that stands, or that came on another one, is not touched.
+    fn spoil(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
+        if self.links.get(&link).is_none_or(|held| held.front != Front::Platform) {
+            return;
+        }
+        let open = |call: &Call| call.link == link && !matches!(call.phase, Phase::Standing { .. });
+        for id in self.calls_where(open) {
+            if let Some(Phase::Out { to, .. }) = self.calls.get(&id).map(|call| call.phase) {
+                self.abandon(id, effects);
+                self.module_outcome(id, to, Outcome::Cancelled, Reason::None, true);
+            }
+            self.conclude(id, CallerWord::Failed { busy: false }, effects);
+        }
+        self.close_link(link, effects);
+    }
+
+    fn hang_up(&mut self, link: LinkId, name: CallName, cause: u8, effects: &mut Vec<Effect>) {
         let Some(id) = self.by_name.get(&name).copied() else { return };
+        // A call that stands belongs to no connection; a set-up is its own connection's alone to give up.
+        match self.calls[&id].phase {
+            Phase::Standing { .. } => {}
+            _ if self.calls[&id].link == link => {}
+            _ => return,
+        }
         match self.calls[&id].phase {
             Phase::Standing { at } => {
                 self.release_far(id, at, cause, effects);
@@ -535,7 +743,7 @@
         let left = since(self.now, call.deadline);
         let cap = if timeout.is_zero() { left } else { timeout.min(left) };
         let attempt = call.attempts;
-        call.phase = Phase::Out { to, sent: self.now, reached: false };
+        call.phase = Phase::Out { to, sent: self.now, on: None };
         self.set_timer(cap, Timer::Attempt(id, attempt));
         match self.peers.get(&to).map(|peer| peer.way) {
             Some(Way::Up(_)) => self.transmit(id, effects),
@@ -554,9 +762,9 @@
     fn transmit(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let Phase::Out { to, reached, .. } = &mut call.phase else { return };
+        let Phase::Out { to, on, .. } = &mut call.phase else { return };
         let Some(Way::Up(conn)) = self.peers.get(to).map(|peer| peer.way) else { return };
-        *reached = true;
+        *on = Some(conn);
         let word = PeerWord::SetUp {
             class: call.class.clone(),
             key: call.key.clone(),
@@ -569,8 +777,9 @@
     /// Calls off the attempt of a call that is out, toward the exchange only.
     fn abandon(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         let Some(call) = self.calls.get(&id) else { return };
-        if let Phase::Out { to, reached: true, .. } = call.phase
-            && let Some(Way::Up(conn)) = self.peers.get(&to).map(|peer| peer.way)
+        // Where its way is gone, its loss has given the set-up up.
+        if let Phase::Out { on: Some(conn), .. } = call.phase
+            && self.conns.contains_key(&conn)
         {
             effects.push(Effect::ToExchange { conn, call: call.name, word: PeerWord::GiveUp });
         }
@@ -590,10 +799,10 @@
 
     fn time_out(&mut self, id: CallId, attempt: u32, effects: &mut Vec<Effect>) {
         let Some(call) = self.calls.get(&id).filter(|call| call.attempts == attempt) else { return };
-        let Phase::Out { to, sent, reached } = call.phase else { return };
+        let Phase::Out { to, sent, on } = call.phase else { return };
         self.abandon(id, effects);
         // One that waited for a connection all along has proved that nothing ran.
-        let outcome = if reached { Outcome::TimedOut } else { Outcome::NoConnection };
+        let outcome = if on.is_some() { Outcome::TimedOut } else { Outcome::NoConnection };
         self.close_attempt(id, to, sent, outcome, Reason::None);
     }
 
@@ -651,9 +860,10 @@
     /// The call of this name, if it has to do with the exchange at the other end of this way. What an
     /// exchange says of a call that has moved on from it is stale.
     fn call_at(&self, conn: ConnId, name: CallName) -> Option<(CallId, ExchangeId)> {
-        let (id, peer) = (*self.by_name.get(&name)?, *self.conns.get(&conn)?);
+        let (id, peer) = (*self.by_name.get(&name)?, self.conns.get(&conn)?.peer);
         let there = match self.calls.get(&id)?.phase {
-            Phase::Out { to, reached, .. } => reached && to == peer,
+            // On another way it is about an earlier attempt, which was given up.
+            Phase::Out { on, .. } => on == Some(conn),
             Phase::Standing { at } => at == peer,
             Phase::Open => false,
         };
@@ -667,12 +877,21 @@
         description: Option<Arc<str>>,
         effects: &mut Vec<Effect>,
     ) {
+        self.note_heard(conn);
         let Some((id, peer)) = self.call_at(conn, name) else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Phase::Out { sent, .. } = call.phase else { return };
         call.phase = Phase::Standing { at: peer };
+        // A call may stand for long; what only its set-up needed is given back.
+        (call.class, call.key) = (String::new(), None);
+        let asked = call.description.take();
         let (attempt, took_ms) = (call.attempts - 1, millis(since(sent, self.now)));
         let (link, call) = (call.link, call.name);
+        self.no_longer_open(asked.as_ref());
+        if let Some(link) = self.links.get_mut(&link) {
+            link.served = true;
+        }
+        self.overtaken(conn, sent, effects);
         effects.push(Effect::ToCaller { link, call, word: CallerWord::Answer { description } });
         self.events.push_back(Event::Stands { call: id, attempt, exchange: peer, took_ms });
         self.try_exit(effects);
@@ -686,6 +905,7 @@
         reason: Reason,
         effects: &mut Vec<Effect>,
     ) {
+        self.note_heard(conn);
         let unknown = !self.by_name.contains_key(&name) && !self.over_names.contains(&name);
         if unknown && self.conns.contains_key(&conn) {
             return self.pass_release(name, outcome, effects);
@@ -708,8 +928,7 @@
         self.over_names.insert(call);
         self.over.push_back((self.now, call));
         let word = CallerWord::Released { cut: outcome == Outcome::Reset };
-        let until = self.now + KEEP_RELEASE;
-        self.release_caller(NO_LINK, Held { until, front: Front::Platform, call, word }, effects);
+        self.release_caller(NO_LINK, self.held(Front::Platform, call, word), effects);
     }
 
     /// A call that stood is over on the far side: its caller is told, whichever way is open.
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -1,8 +1,13 @@
-//! The exchanges that the engine knows: how they are listed and the way to each.
+//! The exchanges that the engine knows: how they are listed and the ways to each.
+//!
+//! A way that breaks proves nothing of the process at its far end: connections are reset while it lives. That it
+//! is dead shows when the next connection is refused, when none comes up for a while, or when the list no
+//! longer has it; only then are the calls that stand there cut. A way that stays open may be dead too: when
+//! nothing comes on it although something is owed, another is opened beside it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use super::{
     Call, CallId, CallName, ConnId, Effect, Engine, Entry, Event, ExchangeId, FORGET, LAST_WORDS, ListKind,
@@ -10,7 +15,22 @@
 };
 use crate::interface::Report;
 
-/// The way to an exchange.
+/// Cause of a normal end.
+const NORMAL: u8 = 16;
+/// Time between two looks at the ways to an exchange.
+const WATCH: Duration = Duration::from_millis(250);
+/// A way on which nothing has come for this long since a set-up went out may be dead: another one is tried. A
+/// way that is only slow loses nothing by it.
+const QUIET: Duration = Duration::from_millis(600);
+/// The same for a way on which nothing is out, but calls stand whose ends would come on it.
+const SILENT: Duration = Duration::from_secs(3);
+/// When no connection has come up for this long the machine is gone, and the calls that stood there with it.
+/// With the time in which that shows, their callers are told well within 8 s.
+const UNREACHABLE: Duration = Duration::from_secs(2);
+/// A way that broke sooner than this after it came up is not opened again at once.
+const SHORT_LIVED: Duration = Duration::from_millis(200);
+
+/// The way to an exchange on which set-ups go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Way {
     /// None open.
@@ -21,6 +41,16 @@
     Up(ConnId),
 }
 
+/// One connection to an exchange.
+#[derive(Debug)]
+pub(super) struct Conn {
+    pub(super) peer: ExchangeId,
+    up: SystemTime,
+    heard: SystemTime,
+    /// Calls that stand belong to it and end with it, so no other can take its place.
+    bound: bool,
+}
+
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) name: Arc<str>,
@@ -29,9 +59,16 @@
     pub(super) readiness: Readiness,
     pub(super) told_at: SystemTime,
     pub(super) way: Way,
+    /// Being opened beside the way, to take its place.
+    spare: Option<ConnId>,
+    /// The way before this one, while set-ups are out on it.
+    retired: Option<ConnId>,
+    /// No connection has come up since then.
+    unreachable: Option<SystemTime>,
     /// Releases that wait for a way.
     pub(super) releases: Vec<(CallName, u8)>,
     redialling: bool,
+    watched: bool,
 }
 
 impl Engine {
@@ -65,8 +102,12 @@
                 readiness: entry.readiness,
                 told_at: now,
                 way: Way::Down,
+                spare: None,
+                retired: None,
+                unreachable: None,
                 releases: Vec::new(),
                 redialling: false,
+                watched: false,
             });
             if peer.readiness != entry.readiness {
                 (peer.readiness, peer.told_at) = (entry.readiness, now);
@@ -87,6 +128,11 @@
         }
         let down: Vec<ExchangeId> = listed.iter().map(|l| l.id).collect();
         for id in down {
+            if let Some(peer) = self.peers.get_mut(&id)
+                && !std::mem::replace(&mut peer.watched, true)
+            {
+                self.set_timer(WATCH, Timer::Watch(id));
+            }
             if self.peers.get(&id).is_some_and(|peer| peer.way == Way::Down && !peer.redialling) {
                 self.dial(id, effects);
             }
@@ -94,18 +140,29 @@
         self.events.push_back(Event::List { kind, entries: listed });
     }
 
-    /// Opens a way to an exchange that is not gone: news of its group comes only on an open one.
-    pub(super) fn dial(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        if peer.way != Way::Down || peer.readiness == Readiness::Gone || Some(peer.number) == self.home {
-            return;
+    fn dial_as(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) -> Option<ConnId> {
+        let (now, peer) = (self.now, self.peers.get(&id)?);
+        if peer.readiness == Readiness::Gone || Some(peer.number) == self.home {
+            return None;
         }
         self.last_conn += 1;
         let conn = self.last_conn;
-        peer.way = Way::Dialling(conn);
-        self.conns.insert(conn, id);
+        self.conns.insert(conn, Conn { peer: id, up: now, heard: now, bound: false });
         let (name, number, address) = (peer.name.clone(), peer.number, peer.address);
         effects.push(Effect::Connect { conn, peer: id, name, number, address });
+        Some(conn)
+    }
+
+    /// Opens a way to an exchange that is not gone: news of its group comes only on an open one.
+    pub(super) fn dial(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
+        if self.peers.get(&id).is_none_or(|peer| peer.way != Way::Down) {
+            return;
+        }
+        if let Some(conn) = self.dial_as(id, effects)
+            && let Some(peer) = self.peers.get_mut(&id)
+        {
+            peer.way = Way::Dialling(conn);
+        }
     }
 
     pub(super) fn redial(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
@@ -125,46 +182,195 @@
         }
     }
 
-    pub(super) fn connected(&mut self, conn: ConnId, effects: &mut Vec<Effect>) {
-        let Some(id) = self.conns.get(&conn).copied() else { return };
+    /// Something has come on a way.
+    pub(super) fn note_heard(&mut self, conn: ConnId) {
+        let now = self.now;
+        if let Some(held) = self.conns.get_mut(&conn) {
+            held.heard = now;
+            if let Some(peer) = self.peers.get_mut(&held.peer) {
+                peer.unreachable = None;
+            }
+        }
+    }
+
+    pub(super) fn connected(&mut self, conn: ConnId, bound: bool, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(held) = self.conns.get_mut(&conn) else {
+            // It was given up while it was being opened, and nobody else would ever close it.
+            effects.push(Effect::Close { conn });
+            return;
+        };
+        (held.up, held.heard, held.bound) = (now, now, bound);
+        let id = held.peer;
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        peer.unreachable = None;
+        if peer.spare == Some(conn) {
+            peer.spare = None;
+            if let Some(former) = peer.retired {
+                self.close_way(former, effects);
+            }
+        }
         let Some(peer) = self.peers.get_mut(&id) else { return };
-        peer.way = Way::Up(conn);
+        if let Way::Up(old) = std::mem::replace(&mut peer.way, Way::Up(conn)) {
+            peer.retired = Some(old);
+        }
+        // Releases first: a set-up that comes again may have left a call standing there under the same id.
         for (call, cause) in std::mem::take(&mut peer.releases) {
             effects.push(Effect::ToExchange { conn, call, word: PeerWord::Release { cause } });
         }
-        for call in self.calls_where(|call| matches!(call.phase, Phase::Out { to, .. } if to == id)) {
+        let waits = |call: &Call| matches!(call.phase, Phase::Out { to, on: None, .. } if to == id);
+        for call in self.calls_where(waits) {
             self.transmit(call, effects);
         }
+        self.drop_retired(id, effects);
     }
 
     pub(super) fn connect_failed(&mut self, conn: ConnId, refused: bool, effects: &mut Vec<Effect>) {
-        let Some(id) = self.conns.remove(&conn) else { return };
-        if let Some(peer) = self.peers.get_mut(&id) {
+        let Some(id) = self.conns.remove(&conn).map(|held| held.peer) else { return };
+        let now = self.now;
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        if peer.spare == Some(conn) {
+            peer.spare = None;
+        } else {
             peer.way = Way::Down;
         }
-        for call in self.calls_where(|call| matches!(call.phase, Phase::Out { to, .. } if to == id)) {
+        let since_when = *peer.unreachable.get_or_insert(now);
+        if refused || since(since_when, now) >= UNREACHABLE {
+            self.bury_process(id, refused, effects);
+        } else if peer.way == Way::Down {
+            self.fail_waiting(id);
+            self.redial_later(id);
+        }
+    }
+
+    /// Set-ups that wait for a way have proved that nothing of them ran.
+    fn fail_waiting(&mut self, id: ExchangeId) {
+        let waits = |call: &Call| matches!(call.phase, Phase::Out { to, on: None, .. } if to == id);
+        for call in self.calls_where(waits) {
             self.attempt_over(call, Outcome::NoConnection, Reason::None);
         }
-        if refused {
+    }
+
+    /// A way has broken, was closed, or is of no further use. The set-ups out on it are over, as far as this
+    /// softswitch can tell; calls that stand belong to no connection.
+    pub(super) fn connection_lost(&mut self, conn: ConnId, effects: &mut Vec<Effect>) {
+        let Some(held) = self.conns.remove(&conn) else { return };
+        let (id, now) = (held.peer, self.now);
+        self.reset_out(conn, id, effects);
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        if peer.retired == Some(conn) {
+            peer.retired = None;
+            return;
+        }
+        if peer.way != Way::Up(conn) {
+            return;
+        }
+        peer.way = peer.spare.take().map_or(Way::Down, Way::Dialling);
+        if peer.readiness == Readiness::Gone {
             self.cut_standing(id, effects);
+        } else if held.bound {
+            self.cut_standing(id, effects);
+            self.dial(id, effects);
+        } else if since(held.up, now) < SHORT_LIVED {
+            self.redial_later(id);
+        } else {
+            self.dial(id, effects);
         }
-        self.redial_later(id);
     }
 
-    /// An exchange that closed a connection may live on, with the calls that stand there; one that reset it
-    /// has died, and they are cut.
-    pub(super) fn connection_lost(&mut self, conn: ConnId, reset: bool, effects: &mut Vec<Effect>) {
-        let Some(id) = self.conns.remove(&conn) else { return };
-        let Some(peer) = self.peers.get_mut(&id) else { return };
-        peer.way = Way::Down;
-        let gone = peer.readiness == Readiness::Gone;
-        for call in self.calls_where(|call| matches!(call.phase, Phase::Out { to, .. } if to == id)) {
+    /// Ends the attempts that went out on a way that is no more. Some may have run, and stand at the exchange
+    /// with their circuits taken: it is told that they are over, on the way that is open or on the next.
+    fn reset_out(&mut self, conn: ConnId, id: ExchangeId, effects: &mut Vec<Effect>) {
+        let out_there = |call: &Call| matches!(call.phase, Phase::Out { on, .. } if on == Some(conn));
+        for call in self.calls_where(out_there) {
+            let name = self.calls[&call].name;
             self.attempt_over(call, Outcome::Reset, Reason::None);
+            match self.peers.get_mut(&id) {
+                Some(Peer { way: Way::Up(open), .. }) if *open != conn => {
+                    let (conn, word) = (*open, PeerWord::GiveUp);
+                    effects.push(Effect::ToExchange { conn, call: name, word });
+                }
+                Some(peer) => peer.releases.push((name, NORMAL)),
+                None => {}
+            }
         }
-        if reset || gone {
-            self.cut_standing(id, effects);
+    }
+
+    /// Looks at the ways to an exchange: whether one may be dead though it is open, and whether one that was
+    /// replaced is still needed.
+    pub(super) fn watch(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        if peer.readiness == Readiness::Gone {
+            peer.watched = false;
+            return;
+        }
+        self.set_timer(WATCH, Timer::Watch(id));
+        self.drop_retired(id, effects);
+        let Some(peer) = self.peers.get(&id) else { return };
+        let Way::Up(conn) = peer.way else { return };
+        let Some(held) = self.conns.get(&conn).filter(|held| !held.bound) else { return };
+        let quiet = |from: SystemTime| since(from.max(held.heard), self.now);
+        let owed = |call: &Call| matches!(call.phase, Phase::Out { on, sent, .. } if on == Some(conn) && quiet(sent) >= QUIET);
+        let doubtful = peer.unreachable.is_some()
+            || (quiet(held.up) >= SILENT
+                && self.calls.values().any(|c| c.phase == Phase::Standing { at: id }))
+            || (peer.retired.is_none() && self.calls.values().any(owed));
+        if peer.spare.is_none() && doubtful {
+            let spare = self.dial_as(id, effects);
+            if let Some(peer) = self.peers.get_mut(&id) {
+                peer.spare = spare;
+            }
         }
-        self.dial(id, effects);
+    }
+
+    /// A set-up that went out at this time on this way was answered. If the way before has been silent for
+    /// longer, nothing will ever come on it.
+    pub(super) fn overtaken(&mut self, conn: ConnId, sent: SystemTime, effects: &mut Vec<Effect>) {
+        let Some(id) = self.conns.get(&conn).map(|held| held.peer) else { return };
+        let retired = self.peers.get(&id).and_then(|peer| peer.retired).filter(|old| *old != conn);
+        if let Some(old) = retired
+            && self.conns.get(&old).is_some_and(|held| held.heard < sent)
+        {
+            self.close_way(old, effects);
+        }
+    }
+
+    /// Closes the way before this one once nothing is out on it.
+    fn drop_retired(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
+        let Some(old) = self.peers.get(&id).and_then(|peer| peer.retired) else { return };
+        if !self.calls.values().any(|call| matches!(call.phase, Phase::Out { on, .. } if on == Some(old))) {
+            self.close_way(old, effects);
+        }
+    }
+
+    fn close_way(&mut self, conn: ConnId, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Close { conn });
+        self.connection_lost(conn, effects);
+    }
+
+    /// Nothing runs at this exchange any more, whatever is still open to it.
+    fn bury_process(&mut self, id: ExchangeId, refused: bool, effects: &mut Vec<Effect>) {
+        self.close_all(id, effects);
+        self.cut_standing(id, effects);
+        if refused && let Some(peer) = self.peers.get_mut(&id) {
+            peer.releases.clear();
+        }
+        self.redial_later(id);
+    }
+
+    /// Closes every way to an exchange, with all that waits for one.
+    fn close_all(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
+        let Some(peer) = self.peers.get_mut(&id) else { return };
+        let way = match std::mem::replace(&mut peer.way, Way::Down) {
+            Way::Up(conn) | Way::Dialling(conn) => Some(conn),
+            Way::Down => None,
+        };
+        for conn in [way, peer.spare.take(), peer.retired.take()].into_iter().flatten() {
+            self.conns.remove(&conn);
+            effects.push(Effect::Close { conn });
+            self.reset_out(conn, id, effects);
+        }
+        self.fail_waiting(id);
     }
 
     /// Ends all dealings with an exchange that is no longer listed.
@@ -178,32 +384,34 @@
             self.by_peer_name.remove(&name);
             return;
         }
-        if let Way::Up(conn) | Way::Dialling(conn) = std::mem::replace(&mut peer.way, Way::Down) {
-            self.conns.remove(&conn);
-            effects.push(Effect::Close { conn });
-        }
-        for call in self.calls_where(|call| matches!(call.phase, Phase::Out { to, .. } if to == id)) {
-            self.attempt_over(call, Outcome::Reset, Reason::None);
-        }
+        self.close_all(id, effects);
         self.cut_standing(id, effects);
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.releases = Vec::new();
+        }
         self.set_timer(FORGET, Timer::Bury(id));
     }
 
+    /// Ends the calls that stand at an exchange. If it lives after all, it is told so on the next way.
     fn cut_standing(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
         for call in self.calls_where(|call| call.phase == Phase::Standing { at: id }) {
+            if let Some(peer) = self.peers.get_mut(&id) {
+                peer.releases.push((self.calls[&call].name, NORMAL));
+            }
             self.end_standing(call, id, Outcome::Reset, effects);
         }
     }
 
     /// Ids of the calls for which this holds, in the order in which they came.
-    fn calls_where(&self, holds: impl Fn(&Call) -> bool) -> Vec<CallId> {
+    pub(super) fn calls_where(&self, holds: impl Fn(&Call) -> bool) -> Vec<CallId> {
         let mut ids: Vec<CallId> = self.calls.iter().filter(|(_, c)| holds(c)).map(|(id, _)| *id).collect();
         ids.sort_unstable();
         ids
     }
 
     pub(super) fn probed(&mut self, conn: ConnId, answered: bool, report: Option<Report>) {
-        if let Some(exchange) = self.conns.get(&conn).copied() {
+        self.note_heard(conn);
+        if let Some(exchange) = self.conns.get(&conn).map(|held| held.peer) {
             self.events.push_back(Event::Probed { exchange, answered, took_ms: 0.0, report });
         }
     }
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -128,6 +128,11 @@
         /// All else.
         setup: SetUp,
     },
+    /// What came on it cannot be read, or does not end: it is of no further use.
+    Spoilt {
+        /// The way.
+        link: LinkId,
+    },
     /// Something that names a call but cannot be read as a set-up came.
     Malformed {
         /// On which way.
@@ -137,6 +142,8 @@
     },
     /// The caller gave the set-up up, or released a call that stands.
     HangUp {
+        /// On which way.
+        link: LinkId,
         /// The call.
         call: CallName,
         /// Cause (Q.850).
@@ -155,6 +162,8 @@
     Connected {
         /// The way.
         conn: ConnId,
+        /// Whether calls that stand belong to it, and end with it.
+        bound: bool,
     },
     /// It never came up.
     ConnectFailed {
@@ -163,12 +172,16 @@
         /// Whether the exchange refused it: nothing runs there.
         refused: bool,
     },
-    /// It has broken or was closed.
+    /// It has broken, was closed, or is of no further use because something on it could not be read. None of
+    /// this proves that the process there is dead.
     ConnectionLost {
         /// The way.
         conn: ConnId,
-        /// Whether it was reset: the process there is dead.
-        reset: bool,
+    },
+    /// Something came on it that concerns no call.
+    Alive {
+        /// The way.
+        conn: ConnId,
     },
     /// An exchange answered: the call stands.
     Answered {
@@ -289,6 +302,11 @@
         /// This.
         word: PeerWord,
     },
+    /// Close a way to callers, once all that was said on it is written.
+    CloseLink {
+        /// The way.
+        link: LinkId,
+    },
     /// Open a way to an exchange.
     Connect {
         /// The way.
--- a/src/iax2/mod.rs
+++ b/src/iax2/mod.rs
@@ -267,7 +267,7 @@
             return;
         }
         out.inputs.push(match line.role {
-            Role::Caller => Input::HangUp { call: line.call, cause: 41 },
+            Role::Caller => Input::HangUp { link: self.link, call: line.call, cause: 41 },
             Role::Node(conn) => {
                 let (outcome, reason) = (Outcome::Reset, Reason::None);
                 Input::Ended { conn, call: line.call, outcome, reason }
@@ -299,7 +299,7 @@
                 let ack = Full { again: false, subclass: iax::ACK, payload: Vec::new(), ..ack };
                 out.datagrams.push((from, ack.write()));
                 self.nodes.insert(poke.conn, poke.address);
-                out.inputs.push(Input::Connected { conn: poke.conn });
+                out.inputs.push(Input::Connected { conn: poke.conn, bound: true });
             }
             return;
         }
@@ -420,7 +420,10 @@
             if state != State::Closing {
                 let (outcome, reason) = end_of(&why);
                 out.inputs.push(match role {
-                    Role::Caller => Input::HangUp { call, cause: why.cause_code.unwrap_or(16) },
+                    Role::Caller => {
+                        let cause = why.cause_code.unwrap_or(16);
+                        Input::HangUp { link: self.link, call, cause }
+                    }
                     Role::Node(conn) => Input::Ended { conn, call, outcome, reason },
                 });
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -136,7 +136,7 @@
     // First of all: until they are handled, either signal ends the process without a word.
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let server = Server::bind(Config::load(path)?, iax2)?;
-    let (to_loop, path) = (server.sender(), path.to_owned());
+    let (to_loop, path) = (server.inbox(), path.to_owned());
     swiftlb::net::connection::small_thread("signals", move || {
         for signal in signals.forever() {
             let input = match signal {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,119 +1,241 @@
-//! One TCP connection: a thread that reads it and one that writes it, both on small stacks.
+//! One TCP connection without a thread of its own: it takes from the system and gives to it what can be had at
+//! once, and says what has come.
 //!
-//! The house asks for one thread a connection. With the standard library alone, one thread cannot wait for
-//! bytes to read and for messages to write at once, and a reducer that writes by itself would stop for a slow
-//! peer; so each connection has a second thread, and no second descriptor: both share the stream.
+//! The house asks for small-stack threads. Two of them for each connection were measured: whoever shares a
+//! processor is stopped and continued many times a second, every thread is woken by each of these, and with 330
+//! threads that alone took up the processor time that there is. So the sockets are non-blocking ones and one
+//! thread waits for all of them; the standard library cannot do that, `mio` can.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
-use std::sync::Arc;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::ops::ControlFlow;
 use std::thread::{Builder, JoinHandle};
 use std::time::{Duration, SystemTime};
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
 
 use super::jsonl::{Cut, Lines};
 
 /// Stack of a thread that serves a socket; the deepest thing it does is to parse one bounded message.
 pub const STACK: usize = 128 * 1024;
-/// Messages that may wait for a peer to read them. One that lets more pile up is cut off.
-const WAITING: usize = 2_048;
+/// Bytes that may wait for a peer to read them. One that lets more pile up is cut off.
+const WAITING: usize = 256 * 1024;
 /// A peer that takes nothing for this long is cut off.
 const STALLED: Duration = Duration::from_secs(5);
-
-/// How long the peer's reset may take to come back: a round trip on a poor link, and well within the second in
-/// which a release has to be sent.
-const ECHO: Duration = Duration::from_millis(300);
+/// Reads from one connection before others have their turn.
+const TURN: usize = 4;
 
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
     /// Closed in good order.
     Closed,
-    /// Reset: the process at the other end died, or the way to it broke.
+    /// Reset: the way broke, or the process at the other end died.
     Reset,
+    /// Something came that cannot be used, or did not end in time. Nothing more is read.
+    Spoilt,
+}
+
+/// What a turn of reading has led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// All that is there now.
+    All,
+    /// There is more.
+    More,
+    /// The end.
+    Ended(Ending),
+}
+
+/// What a connection has waited for in vain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Late {
+    /// To come up.
+    Opening,
+    /// For the end of a line.
+    Line,
+    /// For the peer to take what was sent.
+    Writing,
 }
 
-/// The writing end: owned by the driver, and given back by dropping it.
+/// A connection; dropping it closes it.
 #[derive(Debug)]
-pub struct Outlet {
-    stream: Arc<TcpStream>,
-    queue: Sender<Vec<u8>>,
+pub struct Connection {
+    stream: TcpStream,
+    /// Until when it may take to come up; `None` once it has.
+    opening: Option<SystemTime>,
+    lines: Lines,
+    /// When the line began that has not ended yet.
+    begun: Option<SystemTime>,
+    patience: Duration,
+    /// Nothing more is read.
+    deaf: bool,
+    unsent: Vec<u8>,
+    sent: usize,
+    /// Since when the peer takes nothing.
+    stalled: Option<SystemTime>,
 }
 
-impl Outlet {
-    /// Sends a message in its turn; never waits.
-    pub fn send(&self, message: Vec<u8>) {
-        if let Err(TrySendError::Full(_)) = self.queue.try_send(message) {
-            self.cut();
+impl Connection {
+    fn new(stream: TcpStream, opening: Option<SystemTime>, patience: Duration) -> Self {
+        Self {
+            stream,
+            opening,
+            lines: Lines::default(),
+            begun: None,
+            patience,
+            deaf: false,
+            unsent: Vec::new(),
+            sent: 0,
+            stalled: None,
         }
     }
 
-    /// Ends the connection now; its reader then reports it.
-    pub fn cut(&self) {
-        // Fails only on a connection that is already gone.
-        let _ = self.stream.shutdown(Shutdown::Both);
+    /// One that was accepted. A line on it must end within this time of its first byte.
+    pub fn accepted(stream: TcpStream, patience: Duration) -> Self {
+        // One on which this cannot be set is gone already; the next read says so.
+        let _ = stream.set_nodelay(true);
+        Self::new(stream, None, patience)
     }
-}
 
-/// Starts the writer of a connection.
-///
-/// # Errors
-/// If the system has no thread left.
-pub fn outlet(stream: Arc<TcpStream>) -> std::io::Result<Outlet> {
-    let (queue, waiting) = bounded(WAITING);
-    // A connection on which these cannot be set is gone already; its reader reports it.
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_write_timeout(Some(STALLED));
-    let writer = stream.clone();
-    small_thread("writer", move || write(&writer, &waiting))?;
-    Ok(Outlet { stream, queue })
-}
+    /// One that is being opened, until this time at most.
+    ///
+    /// # Errors
+    /// If the system cannot even begin.
+    pub fn dial(address: SocketAddr, until: SystemTime, patience: Duration) -> io::Result<Self> {
+        Ok(Self::new(TcpStream::connect(address)?, Some(until), patience))
+    }
 
-/// Starts a thread on a small stack.
-///
-/// # Errors
-/// If the system has none left.
-pub fn small_thread(name: &str, run: impl FnOnce() + Send + 'static) -> std::io::Result<JoinHandle<()>> {
-    Builder::new().name(name.to_owned()).stack_size(STACK).spawn(run)
-}
+    /// Has the poll watch it.
+    ///
+    /// # Errors
+    /// If the system cannot.
+    pub fn watch(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
+        registry.register(&mut self.stream, token, Interest::READABLE | Interest::WRITABLE)
+    }
+
+    /// Whether it is still being opened.
+    pub fn is_opening(&self) -> bool {
+        self.opening.is_some()
+    }
 
-fn write(mut stream: &TcpStream, waiting: &Receiver<Vec<u8>>) {
-    while let Ok(mut message) = waiting.recv() {
-        while message.len() < 32 * 1024
-            && let Ok(next) = waiting.try_recv()
-        {
-            message.extend_from_slice(&next);
+    /// Looks whether it has come up; false if that cannot be told yet.
+    ///
+    /// # Errors
+    /// If it never will.
+    pub fn has_opened(&mut self) -> io::Result<bool> {
+        if let Some(error) = self.stream.take_error()? {
+            return Err(error);
         }
-        if stream.write_all(&message).is_err() {
-            break;
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                self.opening = None;
+                let _ = self.stream.set_nodelay(true);
+                Ok(true)
+            }
+            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(error) => Err(error),
         }
     }
-    // All that was queued is written: the end of the outlet is the end of the connection.
-    let _ = stream.shutdown(Shutdown::Both);
-}
 
-/// Whether something was sent on a connection after the peer had closed it. The peer's system answers such
-/// bytes with a reset, which is the only sign of it.
-pub fn unread(stream: &TcpStream) -> bool {
-    std::thread::sleep(ECHO);
-    matches!(stream.take_error(), Ok(Some(_)))
-}
+    /// Reads what is there and hands on each line with the time at which its last byte came, until `each` says
+    /// that nothing more is wanted.
+    pub fn receive(&mut self, mut each: impl FnMut(Cut, SystemTime) -> ControlFlow<()>) -> Received {
+        if self.deaf {
+            return Received::All;
+        }
+        let mut buffer = [0; 4 * 1024];
+        for _ in 0..TURN {
+            let length = match self.stream.read(&mut buffer) {
+                Ok(0) => return Received::Ended(Ending::Closed),
+                Ok(length) => length,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Received::All,
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => {
+                    return Received::Ended(Ending::Reset);
+                }
+                Err(_) => return Received::Ended(Ending::Closed),
+            };
+            let now = SystemTime::now();
+            if self.lines.push(&buffer[..length], |cut| each(cut, now)).is_break() {
+                // What still comes is not even read: a flood is stopped by its own full buffers.
+                self.deaf = true;
+                return Received::Ended(Ending::Spoilt);
+            }
+            if !self.lines.has_begun() {
+                self.begun = None;
+            } else if self.begun.is_none() || buffer[..length].contains(&b'\n') {
+                self.begun = Some(now);
+            }
+        }
+        Received::More
+    }
+
+    /// Takes a message to be sent; false if too much waits already.
+    pub fn send(&mut self, message: &[u8]) -> bool {
+        self.unsent.extend_from_slice(message);
+        self.unsent.len() - self.sent <= WAITING
+    }
 
-/// Reads a connection to its end and hands on each line with the time at which its last byte came.
-pub fn read(mut stream: &TcpStream, mut each: impl FnMut(Cut, SystemTime)) -> Ending {
-    let mut lines = Lines::default();
-    let mut buffer = vec![0; 8 * 1024];
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(0) => return Ending::Closed,
-            Ok(length) => {
-                let now = SystemTime::now();
-                lines.push(&buffer[..length], |cut| each(cut, now));
+    /// Gives the system what it takes now. A connection that breaks at this is reported by its next read.
+    pub fn flush(&mut self) {
+        while self.sent < self.unsent.len() && self.opening.is_none() {
+            match self.stream.write(&self.unsent[self.sent..]) {
+                Ok(length) => {
+                    self.sent += length;
+                    self.stalled = None;
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.stalled.get_or_insert_with(SystemTime::now);
+                    return;
+                }
+                Err(_) => break,
             }
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => return Ending::Reset,
-            Err(_) => return Ending::Closed,
         }
+        (self.unsent, self.sent, self.stalled) = (Vec::new(), 0, None);
+    }
+
+    /// Whether all has been given to the system.
+    pub fn is_flushed(&self) -> bool {
+        self.unsent.is_empty()
+    }
+
+    /// What it has waited for in vain by now.
+    pub fn late(&mut self, now: SystemTime) -> Option<Late> {
+        let past = |since: Option<SystemTime>, limit: Duration| {
+            since.is_some_and(|since| now.duration_since(since).is_ok_and(|passed| passed >= limit))
+        };
+        if self.opening.is_some_and(|until| until <= now) {
+            Some(Late::Opening)
+        } else if past(self.stalled, STALLED) {
+            Some(Late::Writing)
+        } else if !self.deaf && past(self.begun, self.patience) {
+            self.deaf = true;
+            Some(Late::Line)
+        } else {
+            None
+        }
+    }
+
+    /// Ends it now.
+    pub fn cut(&self) {
+        // Fails only on a connection that is already gone.
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
+
+    /// Whether something was sent on it after the peer had closed it. The peer's system answers such bytes
+    /// with a reset, which is the only sign of it.
+    pub fn is_unread(&self) -> bool {
+        matches!(self.stream.take_error(), Ok(Some(_)))
+    }
+}
+
+/// Starts a thread on a small stack.
+///
+/// # Errors
+/// If the system has none left.
+pub fn small_thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    Builder::new().name(name.to_owned()).stack_size(STACK).spawn(run)
 }
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,482 @@
+//! The driver: owns every connection and carries out what the reducer asks for.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use crossbeam_channel::Sender;
+use mio::net::TcpListener;
+use mio::{Interest, Registry, Token};
+
+use super::Message;
+use super::connection::{Connection, Ending, Late, Received};
+use super::dns::Source;
+use super::jsonl::{self, Cut, FromCaller, FromExchange, LineError};
+use crate::config::Config;
+use crate::engine::{CallName, ConnId, Effect, Front, Input, LinkId, PeerWord};
+use crate::iax2::{Endpoint, Iax2Config, Output};
+use crate::interface::Number;
+
+/// The one link of all IAX2 callers; connections count on from it.
+pub(super) const HANDSETS: LinkId = 0;
+/// What the poll calls the waker and the listener.
+pub(super) const WAKER: Token = Token(0);
+const LISTENER: Token = Token(1);
+/// A line from a caller must end within this time of its first byte, and one from an exchange: callers may be
+/// on poor links, exchanges are not, and what waits for an answer there has no time to lose.
+const CALLER_LINE: Duration = Duration::from_secs(2);
+const EXCHANGE_LINE: Duration = Duration::from_secs(1);
+/// Connections that are accepted before others have their turn.
+const ACCEPTS: usize = 16;
+/// Time between two looks at what connections wait for.
+const SWEEP: Duration = Duration::from_millis(50);
+/// Time before the next try to accept where the system has nothing left for a connection.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How long the peer's reset may take to come back: a round trip on a poor link, and well within the second in
+/// which a release has to be sent.
+const ECHO: Duration = Duration::from_millis(300);
+/// How long a connection that is being closed may take for its last words.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// How long the last frames on IAX2 legs are repeated at the end, if nobody acknowledges them.
+const LAST_REPEATS: Duration = Duration::from_secs(1);
+
+/// The IAX2 side: one socket and the legs on it.
+pub(super) struct Handsets {
+    pub(super) iax2: Iax2Config,
+    pub(super) endpoint: Endpoint,
+    pub(super) socket: Arc<UdpSocket>,
+}
+
+/// Whose connection it is, told by the lowest bit of its token.
+#[derive(Clone, Copy)]
+enum Whose {
+    Caller(LinkId),
+    Exchange(ConnId),
+}
+
+impl Whose {
+    fn token(self) -> Token {
+        Token(match self {
+            Self::Caller(link) => 2 * (link as usize + 1),
+            Self::Exchange(conn) => 2 * (conn as usize + 1) + 1,
+        })
+    }
+
+    fn of(token: Token) -> Self {
+        let id = (token.0 / 2).saturating_sub(1) as u64;
+        if token.0.is_multiple_of(2) { Self::Caller(id) } else { Self::Exchange(id) }
+    }
+}
+
+/// Owns every connection, and carries out what the reducer asks for.
+pub(super) struct Driver {
+    report: Arc<[String]>,
+    connect_timeout: Duration,
+    source: Sender<Source>,
+    registry: Registry,
+    listener: TcpListener,
+    /// When to try to accept again, if not all that wait have been accepted.
+    accept_at: Option<SystemTime>,
+    links: HashMap<LinkId, Connection>,
+    conns: HashMap<ConnId, Connection>,
+    /// Connections that are closed once their last words are written, and until when they have for that.
+    closing: Vec<(SystemTime, Connection)>,
+    /// Connections that their callers closed a moment ago: whether all was read shows a little later.
+    echoes: VecDeque<(SystemTime, LinkId, Connection)>,
+    /// Those with messages to be written, and those with more to be read.
+    unsent: Vec<Token>,
+    ready: Vec<Token>,
+    sweep_at: SystemTime,
+    handsets: Option<Handsets>,
+    last_link: LinkId,
+    /// What the reducer is to be told next.
+    inputs: VecDeque<Input>,
+    /// Set once all is answered: when to end at the latest.
+    done: Option<SystemTime>,
+}
+
+impl Driver {
+    pub(super) fn new(
+        config: &Config,
+        mut listener: TcpListener,
+        registry: Registry,
+        source: Sender<Source>,
+        handsets: Option<Handsets>,
+        inputs: VecDeque<Input>,
+    ) -> std::io::Result<Self> {
+        registry.register(&mut listener, LISTENER, Interest::READABLE)?;
+        Ok(Self {
+            report: config.report.clone().into(),
+            connect_timeout: config.connect_timeout,
+            source,
+            registry,
+            listener,
+            accept_at: None,
+            links: HashMap::new(),
+            conns: HashMap::new(),
+            closing: Vec::new(),
+            echoes: VecDeque::new(),
+            unsent: Vec::new(),
+            ready: Vec::new(),
+            sweep_at: SystemTime::now(),
+            handsets,
+            last_link: HANDSETS,
+            inputs,
+            done: None,
+        })
+    }
+
+    /// What the reducer is to be told next.
+    pub(super) fn next_input(&mut self) -> Option<Input> {
+        self.inputs.pop_front()
+    }
+
+    /// Takes a message of another thread.
+    pub(super) fn admit(&mut self, message: Message) {
+        match message {
+            Message::Input(input) => self.inputs.push_back(input),
+            Message::Datagram(from, bytes, received) => {
+                self.on_handsets(|h, out| h.endpoint.receive(received, from, &bytes, out));
+            }
+        }
+    }
+
+    /// When it wants to be woken: for IAX2 legs, for what connections wait for, at the end.
+    pub(super) fn next_wake(&self) -> Option<SystemTime> {
+        let legs = self.handsets.as_ref().and_then(|h| h.endpoint.next_wake());
+        let ready = (!self.ready.is_empty()).then_some(SystemTime::UNIX_EPOCH);
+        let none = self.links.is_empty() && self.conns.is_empty() && self.closing.is_empty();
+        let sweep = (!none || !self.echoes.is_empty()).then_some(self.sweep_at);
+        [legs, self.done, self.accept_at, ready, sweep].into_iter().flatten().min()
+    }
+
+    /// Whether the program may end: all is answered, and IAX2 peers have it or had the time to ask again.
+    pub(super) fn is_done(&self) -> bool {
+        let heard = self.handsets.as_ref().is_none_or(|h| h.endpoint.all_heard());
+        self.done.is_some_and(|until| heard || until <= SystemTime::now())
+    }
+
+    /// Writes what is still to be written, for this long at most.
+    pub(super) fn finish(&mut self, limit: Duration) {
+        let until = SystemTime::now() + limit;
+        loop {
+            let all = self.links.values_mut().chain(self.conns.values_mut());
+            let all = all.chain(self.closing.iter_mut().map(|(_, connection)| connection));
+            let mut waits = false;
+            for connection in all {
+                connection.flush();
+                waits |= !connection.is_flushed() && !connection.is_opening();
+            }
+            if !waits || SystemTime::now() >= until {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Does what is due.
+    pub(super) fn wake(&mut self) {
+        let now = SystemTime::now();
+        self.on_handsets(|h, out| h.endpoint.wake(now, out));
+        if self.accept_at.is_some_and(|at| at <= now) {
+            self.accept_at = None;
+            self.accept();
+        }
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP;
+            self.sweep(now);
+        }
+        self.inputs.push_back(Input::Wake);
+    }
+
+    /// Gives the system what it takes of all that was said since the last time.
+    pub(super) fn flush(&mut self) {
+        for token in std::mem::take(&mut self.unsent) {
+            if let Some(connection) = self.connection(Whose::of(token)) {
+                connection.flush();
+            }
+        }
+    }
+
+    /// Connections of which more can be read. One that is read now comes back for the next turn, so that the
+    /// poll has its say between.
+    pub(super) fn take_ready(&mut self) -> Vec<Token> {
+        std::mem::take(&mut self.ready)
+    }
+
+    fn connection(&mut self, whose: Whose) -> Option<&mut Connection> {
+        match whose {
+            Whose::Caller(link) => self.links.get_mut(&link),
+            Whose::Exchange(conn) => self.conns.get_mut(&conn),
+        }
+    }
+
+    /// The poll has something to say.
+    pub(super) fn on_event(&mut self, token: Token) {
+        match (token, Whose::of(token)) {
+            (WAKER, _) => {}
+            (LISTENER, _) => self.accept(),
+            (_, Whose::Caller(link)) => self.read_caller(link),
+            (_, Whose::Exchange(conn)) => self.read_exchange(conn),
+        }
+    }
+
+    fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    self.last_link += 1;
+                    let link = self.last_link;
+                    let mut connection = Connection::accepted(stream, CALLER_LINE);
+                    if connection.watch(&self.registry, Whose::Caller(link).token()).is_ok() {
+                        self.links.insert(link, connection);
+                        self.inputs.push_back(Input::LinkUp { link, front: Front::Platform });
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(error) => {
+                    // Out of descriptors, most likely: those that are open must end first.
+                    eprintln!("swiftlb: accept: {error}");
+                    self.accept_at = Some(SystemTime::now() + ACCEPT_AGAIN);
+                    return;
+                }
+            }
+        }
+        self.accept_at = Some(SystemTime::now());
+    }
+
+    fn read_caller(&mut self, link: LinkId) {
+        let Some(connection) = self.links.get_mut(&link) else { return };
+        connection.flush();
+        let inputs = &mut self.inputs;
+        let received = connection.receive(|cut, received| {
+            inputs.push_back(match &cut {
+                Cut::Whole(line) => match jsonl::read_caller(line, received) {
+                    Ok(FromCaller::SetUp(call, setup)) => Input::SetUp { link, call, setup },
+                    Ok(FromCaller::Stop(call, cause)) => Input::HangUp { link, call, cause },
+                    Ok(FromCaller::Check(call)) => Input::Check { link, call },
+                    Ok(FromCaller::Nothing) => return ControlFlow::Continue(()),
+                    Err(LineError::Call(call)) => Input::Malformed { link, call },
+                    Err(LineError::Unreadable) => return ControlFlow::Break(()),
+                },
+                // Its end may be far away, and nothing behind it is worth the wait.
+                Cut::TooLong(start) => {
+                    inputs.extend(jsonl::named_call(start).map(|call| Input::Malformed { link, call }));
+                    return ControlFlow::Break(());
+                }
+            });
+            ControlFlow::Continue(())
+        });
+        match received {
+            Received::All => {}
+            Received::More => self.ready.push(Whose::Caller(link).token()),
+            // The reducer answers what is open on it, and then has it closed.
+            Received::Ended(Ending::Spoilt) => self.inputs.push_back(Input::Spoilt { link }),
+            Received::Ended(ending) => {
+                self.inputs.push_back(Input::LinkDown { link });
+                if ending == Ending::Reset {
+                    self.inputs.push_back(Input::Unheard { link });
+                    self.links.remove(&link);
+                } else if let Some(connection) = self.links.remove(&link) {
+                    self.echoes.push_back((SystemTime::now() + ECHO, link, connection));
+                }
+            }
+        }
+    }
+
+    fn read_exchange(&mut self, conn: ConnId) {
+        let Some(connection) = self.conns.get_mut(&conn) else { return };
+        if connection.is_opening() {
+            match connection.has_opened() {
+                Ok(true) => self.inputs.push_back(Input::Connected { conn, bound: false }),
+                Ok(false) => return,
+                Err(error) => {
+                    let refused = error.kind() == ErrorKind::ConnectionRefused;
+                    self.conns.remove(&conn);
+                    self.inputs.push_back(Input::ConnectFailed { conn, refused });
+                    return;
+                }
+            }
+        }
+        connection.flush();
+        let (inputs, report) = (&mut self.inputs, &self.report);
+        let received = connection.receive(|cut, _| {
+            let read = match &cut {
+                Cut::Whole(line) => jsonl::read_exchange(line, report),
+                Cut::TooLong(_) => Err(LineError::Unreadable),
+            };
+            inputs.push_back(match read {
+                Ok(FromExchange::Answer(call, description)) => Input::Answered { conn, call, description },
+                Ok(FromExchange::Stop(call, outcome, reason)) => Input::Ended { conn, call, outcome, reason },
+                Ok(FromExchange::Usage(report)) => Input::GroupState { conn, report },
+                Ok(FromExchange::Checked(passed, report)) => Input::Tested { conn, passed, report },
+                Ok(FromExchange::Nothing) => Input::Alive { conn },
+                // After something that cannot be read nothing that follows on the same connection counts: the
+                // calls on it would wait for answers that never come.
+                Err(_) => return ControlFlow::Break(()),
+            });
+            ControlFlow::Continue(())
+        });
+        match received {
+            Received::All => {}
+            Received::More => self.ready.push(Whose::Exchange(conn).token()),
+            Received::Ended(_) => self.lose_exchange(conn),
+        }
+    }
+
+    fn lose_exchange(&mut self, conn: ConnId) {
+        if let Some(connection) = self.conns.remove(&conn) {
+            connection.cut();
+            self.inputs.push_back(Input::ConnectionLost { conn });
+        }
+    }
+
+    /// Ends what has waited in vain, and what is closing.
+    fn sweep(&mut self, now: SystemTime) {
+        let late = |(id, connection): (&u64, &mut Connection)| Some((*id, connection.late(now)?));
+        let links: Vec<_> = self.links.iter_mut().filter_map(late).collect();
+        let conns: Vec<_> = self.conns.iter_mut().filter_map(late).collect();
+        for (link, late) in links {
+            if late == Late::Line {
+                self.inputs.push_back(Input::Spoilt { link });
+            } else {
+                self.links.remove(&link);
+                self.inputs.push_back(Input::LinkDown { link });
+            }
+        }
+        for (conn, late) in conns {
+            if late == Late::Opening {
+                self.conns.remove(&conn);
+                self.inputs.push_back(Input::ConnectFailed { conn, refused: false });
+            } else {
+                self.lose_exchange(conn);
+            }
+        }
+        self.closing.retain_mut(|(until, connection)| {
+            connection.flush();
+            let keep = !connection.is_flushed() && *until > now;
+            if !keep {
+                connection.cut();
+            }
+            keep
+        });
+        while let Some((at, ..)) = self.echoes.front()
+            && *at <= now
+        {
+            if let Some((_, link, connection)) = self.echoes.pop_front()
+                && connection.is_unread()
+            {
+                self.inputs.push_back(Input::Unheard { link });
+            }
+        }
+    }
+
+    /// Works on the IAX2 side, sends its datagrams and queues what it has for the reducer.
+    fn on_handsets(&mut self, work: impl FnOnce(&mut Handsets, &mut Output)) {
+        let Some(handsets) = &mut self.handsets else { return };
+        let mut out = Output::default();
+        work(handsets, &mut out);
+        for (to, bytes) in out.datagrams {
+            // A datagram that cannot be sent is a lost one: the leg repeats it.
+            let _ = handsets.socket.send_to(&bytes, to);
+        }
+        self.inputs.extend(out.inputs);
+    }
+
+    /// Whether a way to an exchange goes over IAX2.
+    fn speaks_iax2(&self, number: Number) -> bool {
+        self.handsets.as_ref().is_some_and(|h| h.iax2.speaks(number))
+    }
+
+    /// Carries out what the reducer asks for.
+    pub(super) fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::ToCaller { link: HANDSETS, call, word } => {
+                self.on_handsets(|h, out| h.endpoint.to_caller(SystemTime::now(), call, &word, out));
+            }
+            Effect::ToCaller { link, call, word } => {
+                self.say(Whose::Caller(link), &jsonl::write_caller(call, &word));
+            }
+            Effect::ToExchange { conn, call, word } => self.say_to_exchange(conn, call, &word),
+            Effect::CloseLink { link } => {
+                if let Some(mut connection) = self.links.remove(&link) {
+                    connection.flush();
+                    if !connection.is_flushed() {
+                        self.closing.push((SystemTime::now() + LAST_WORDS, connection));
+                    }
+                }
+            }
+            Effect::Connect { conn, number, address, .. } if self.speaks_iax2(number) => {
+                let limit = self.connect_timeout;
+                self.on_handsets(|h, out| h.endpoint.connect(SystemTime::now(), conn, address, limit, out));
+            }
+            Effect::Connect { conn, address, .. } => self.dial(conn, address),
+            Effect::Close { conn } => match self.conns.remove(&conn) {
+                Some(mut connection) => {
+                    connection.flush();
+                    connection.cut();
+                }
+                None => self.on_handsets(|h, _| h.endpoint.close(SystemTime::now(), conn)),
+            },
+            Effect::Reconfigure(config) => {
+                let config = *config;
+                self.report = config.report.into();
+                self.connect_timeout = config.connect_timeout;
+                let moved = Source { resolver: config.names, zones: config.zones };
+                if self.source.try_send(moved).is_err() {
+                    eprintln!("swiftlb: the resolver's new address came while too many others wait");
+                }
+            }
+            Effect::Trace(text) => eprintln!("swiftlb: {text}"),
+            Effect::Exit => {
+                self.done.get_or_insert(SystemTime::now() + LAST_REPEATS);
+            }
+        }
+    }
+
+    fn say_to_exchange(&mut self, conn: ConnId, call: CallName, word: &PeerWord) {
+        if self.conns.contains_key(&conn) {
+            self.say(Whose::Exchange(conn), &jsonl::write_exchange(call, word));
+        } else {
+            self.on_handsets(|h, out| h.endpoint.to_node(SystemTime::now(), conn, call, word, out));
+        }
+    }
+
+    /// Queues a message; whoever lets too much pile up is cut off.
+    fn say(&mut self, whose: Whose, message: &[u8]) {
+        let Some(connection) = self.connection(whose) else { return };
+        if connection.send(message) {
+            self.unsent.push(whose.token());
+            return;
+        }
+        match whose {
+            Whose::Caller(link) => {
+                self.links.remove(&link);
+                self.inputs.push_back(Input::LinkDown { link });
+            }
+            Whose::Exchange(conn) => self.lose_exchange(conn),
+        }
+    }
+
+    fn dial(&mut self, conn: ConnId, address: SocketAddr) {
+        let until = SystemTime::now() + self.connect_timeout;
+        let dialled = Connection::dial(address, until, EXCHANGE_LINE).and_then(|mut connection| {
+            connection.watch(&self.registry, Whose::Exchange(conn).token())?;
+            Ok(connection)
+        });
+        match dialled {
+            Ok(connection) => {
+                self.conns.insert(conn, connection);
+            }
+            Err(error) => {
+                let refused = error.kind() == ErrorKind::ConnectionRefused;
+                self.inputs.push_back(Input::ConnectFailed { conn, refused });
+            }
+        }
+    }
+}
--- a/src/net/jsonl.rs
+++ b/src/net/jsonl.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Write;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -15,6 +16,9 @@
 /// No message holds more bytes than this.
 pub const LONGEST: usize = 16 * 1024;
 
+/// Longest wait at a processor that an exchange can mean: a spoilt figure must not shut it out for good.
+const LONGEST_WAIT_MS: f64 = 60_000.0;
+
 /// Cause of a normal end.
 const NORMAL: u8 = 16;
 
@@ -135,42 +139,61 @@
     let wrong = || LineError::Call(line.call);
     let meta = line.meta()?;
     let extras = text(meta, "extras").ok_or_else(wrong)?;
-    let figure = |name: &str| {
+    // A figure that is there must be one that a caller can mean: what is made up for a wrong one would go to
+    // an exchange as if it were good.
+    let figure = |name: &str, range: std::ops::RangeInclusive<f64>| {
         let pair = extras.split(';').filter_map(|pair| pair.split_once(':')).find(|(key, _)| *key == name);
-        pair.and_then(|(_, value)| value.trim().parse::<f64>().ok()).filter(|n| n.is_finite())
+        let value = pair.map(|(_, value)| value.trim().parse::<f64>().map_err(|_| wrong())).transpose()?;
+        match value {
+            Some(value) if !range.contains(&value) || value.fract() != 0.0 => Err(wrong()),
+            value => Ok(value),
+        }
     };
-    let exchange = |name: &str| figure(name).filter(|n| (0.0..=65_535.0).contains(n)).map(|n| n as u32);
-    let transit = figure("transit").is_some_and(|n| n != 0.0);
-    let via = exchange("via");
+    let flag = |name: &str| Ok(figure(name, 0.0..=1.0)?.is_some_and(|n| n != 0.0));
+    let transit = flag("transit")?;
+    let via = figure("via", -1.0..=65_535.0)?.filter(|n| *n >= 0.0).map(|n| n as u32);
     Ok(SetUp {
         class: text(meta, "class").ok_or_else(wrong)?,
         received,
         left: Some(span(number(meta, "left").filter(|n| *n >= 0.0).ok_or_else(wrong)?)),
-        key: text(meta, "key"),
-        dest: exchange("dest").ok_or_else(wrong)?,
-        width: figure("width").filter(|n| *n > 0.0),
+        key: Some(read_key(meta).ok_or_else(wrong)?),
+        dest: figure("dest", 0.0..=65_535.0)?.ok_or_else(wrong)? as u32,
+        width: figure("width", 1.0..=65_535.0)?,
         transit_from: transit.then(|| via.unwrap_or(u32::MAX)),
         advised: if transit { None } else { via },
-        was_cut: figure("again").is_some_and(|n| n != 0.0),
-        description: line.body()?,
+        was_cut: flag("again")?,
+        description: Some(line.body()?.ok_or_else(wrong)?),
     })
 }
 
+/// The number called, which must go on as it came: a JSON number only where it is whole and exact.
+fn read_key(meta: &Object) -> Option<String> {
+    match meta.get("key")? {
+        JsonValue::String(key) => Some(key.clone()),
+        JsonValue::Number(key) if key.fract() == 0.0 && (0.0..9e15).contains(key) => Some(key.to_string()),
+        _ => None,
+    }
+}
+
 /// Reads a line from an exchange; a report has its values in the order of these names.
 ///
 /// # Errors
-/// If it is malformed.
+/// If it is malformed, or nothing that an exchange says: an answer without a description, a release without
+/// a cause, an unknown type.
 pub fn read_exchange(line: &[u8], report: &[String]) -> Result<FromExchange, LineError> {
     let line = Line::read(line)?;
+    let wrong = || LineError::Call(line.call);
     Ok(match line.kind.as_str() {
-        "running" => FromExchange::Answer(line.call, line.body()?),
+        "running" => FromExchange::Answer(line.call, Some(line.body()?.ok_or_else(wrong)?)),
         "stop" => {
+            line.cause().ok_or_else(wrong)?;
             let (outcome, reason) = read_end(&line);
             FromExchange::Stop(line.call, outcome, reason)
         }
         "usage" => read_report(&line, report).map_or(FromExchange::Nothing, FromExchange::Usage),
         "checked" => FromExchange::Checked(line.cause() == Some(1), read_report(&line, report)),
-        _ => FromExchange::Nothing,
+        "staging" | "stopped" => FromExchange::Nothing,
+        _ => return Err(wrong()),
     })
 }
 
@@ -185,7 +208,7 @@
         _ => Outcome::Busy,
     };
     let meta = line.meta().ok();
-    let waited = meta.and_then(|meta| number(meta, "waited")).unwrap_or(0.0).max(0.0);
+    let waited = meta.and_then(|meta| number(meta, "waited")).unwrap_or(0.0).clamp(0.0, LONGEST_WAIT_MS);
     let reason = match meta.and_then(|meta| text(meta, "note")).as_deref() {
         Some("group_full") => Reason::NoCircuit,
         Some("tandem_refused") => Reason::TurnedBack,
@@ -292,8 +315,12 @@
 }
 
 impl Lines {
-    /// Takes what has come and hands on each line that it completes.
-    pub fn push(&mut self, mut bytes: &[u8], mut each: impl FnMut(Cut)) {
+    /// Takes what has come and hands on each line that it completes, until one breaks it off.
+    pub fn push(
+        &mut self,
+        mut bytes: &[u8],
+        mut each: impl FnMut(Cut) -> ControlFlow<()>,
+    ) -> ControlFlow<()> {
         while !bytes.is_empty() {
             let end = bytes.iter().position(|b| *b == b'\n');
             let (part, rest) = match end {
@@ -305,15 +332,21 @@
                 self.buffer.extend_from_slice(part);
                 if self.buffer.len() >= LONGEST {
                     self.skipping = true;
-                    each(Cut::TooLong(std::mem::take(&mut self.buffer)));
+                    each(Cut::TooLong(std::mem::take(&mut self.buffer)))?;
                 }
             }
             if end.is_some() {
                 let whole = std::mem::take(&mut self.buffer);
                 if !std::mem::take(&mut self.skipping) && !whole.trim_ascii().is_empty() {
-                    each(Cut::Whole(whole));
+                    each(Cut::Whole(whole))?;
                 }
             }
         }
+        ControlFlow::Continue(())
+    }
+
+    /// Whether a line has begun that has not ended.
+    pub fn has_begun(&self) -> bool {
+        self.skipping || !self.buffer.is_empty()
     }
 }
