Try a stuck exchange now and then, and a faulty one again, before giving calls up

Ruled out: dead connections (another one beside it gave no answers either, 0.8 s guess measured and taken back), a fault of one group alone (a tandem did as badly), limits, lost news.

At fault in decide.rs: admit shut a stuck exchange out without ever trying it; resolve ended a call at any Busy. Now a trial call goes there every 0.5 s where nothing was answered for 1 s, given up after 0.6 s, and its answer replaces what a wait in vain has taught; a fault is tried again on the same way, within the try limit.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -70,6 +70,12 @@
 const FREE_OUT: usize = 4;
 /// An attempt out for longer says that its far end is stuck, not that the own processor has work, in ms.
 const STUCK_MS: f64 = 1_000.0;
+/// Time between two trial calls to an exchange that has answered nothing for long, in ms: a call that would
+/// be turned away costs little as a trial, and the end of a stall shows by nothing else.
+const TRIAL_MS: f64 = 500.0;
+/// Time-out of such a call, in ms: longer than a set-up takes where nothing waits, short enough for its caller
+/// to be answered and to dial again.
+const TRIAL_TIMEOUT_MS: f64 = 600.0;
 /// Time constant of send rates, in ms: some calls per exchange, well under the time in which traffic shifts.
 const RATE_MS: f64 = 8_000.0;
 /// Time between two messages to the peers, in ms: they are work for processors, and news counts for 10 s.
@@ -163,11 +169,16 @@
     full_at: f64,
     delay: f64,
     delay_at: f64,
+    /// The delay is that of a wait in vain: the next answer replaces it.
+    in_vain: bool,
+    /// When the last attempt was sent there.
+    sent_at: f64,
     /// Shortest time in which a call of ours stood there: the way itself, which no shedding makes shorter.
     floor: f64,
     out: BTreeMap<CallId, f64>,
-    /// When the latest of the attempts that were answered was sent.
+    /// When the latest of the attempts that were answered was sent, and when the last answer came.
     answered: f64,
+    answered_at: f64,
     /// Own sends a second there before it last started: what is sent while it is cold must not raise its
     /// budget.
     usual: f64,
@@ -350,6 +361,7 @@
     fn send(&mut self, id: CallId, to: ExchangeId, actions: &mut Vec<Action>) {
         let now = self.now;
         let credit = self.exchanges.get(&to).map_or(0.0, |e| self.cold_credit(e));
+        let trial = self.on_trial(to);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(exchange) = self.exchanges.get_mut(&to) else { return };
         debug_assert!(call.phase == Phase::Waiting && !exchange.told_off);
@@ -357,13 +369,14 @@
         call.attempts += 1;
         call.tried.insert(to);
         exchange.out.insert(id, now);
+        exchange.sent_at = now;
         (exchange.credit, exchange.credit_at) = (credit - 1.0, now);
         if let Some(free) = &mut exchange.free {
             *free -= call.width;
         }
         let rate = self.rates.entry(exchange.number).or_insert((0.0, now));
         *rate = (faded_rate(*rate, now) + 1_000.0 / RATE_MS, now);
-        let timeout_ms = call.deadline - now;
+        let timeout_ms = if trial { TRIAL_TIMEOUT_MS.min(call.deadline - now) } else { call.deadline - now };
         actions.push(Action::Send { call: id, exchange: to, timeout_ms });
     }
 
@@ -376,11 +389,14 @@
         let tells = answer || sent > exchange.answered;
         if answer {
             exchange.answered = exchange.answered.max(sent);
+            exchange.answered_at = now;
         }
         if tells && took.is_finite() {
             let common = decayed(self.common, now - self.common_at);
             let old = common + decayed(exchange.delay - common, now - exchange.delay_at);
-            exchange.delay = old + DELAY_WEIGHT * (took - old);
+            let weight = if answer && exchange.in_vain && took < old { 0.7 } else { DELAY_WEIGHT };
+            exchange.delay = old + weight * (took - old);
+            exchange.in_vain = !answer;
             exchange.delay_at = now;
             let weight = if took > common { LONGER_WEIGHT } else { SHORTER_WEIGHT };
             self.common = common + weight * (took - common);
@@ -446,7 +462,7 @@
             exchange.delay = exchange.delay.max(wait).max(2.0 * self.set.classes[call.class].aim_ms);
             exchange.delay_at = self.now;
         }
-        if outcome == Outcome::Reset {
+        if outcome == Outcome::Reset || (outcome == Outcome::Busy && reason != Reason::LinesBusy) {
             // What breaks is mostly the way to an exchange: one that has died refuses the next attempt, and
             // any other is reached as well as before.
             call.tried.remove(&at);
@@ -461,8 +477,10 @@
                 call.phase = Phase::Held { until };
                 actions.push(Action::Timer { delay_ms: self.set.release_ms, tag: u64::from(id) });
             }
-            Outcome::Busy => {
-                if reason == Reason::LinesBusy && called != 0 {
+            // A busy number stays busy. A fault in signalling passes: an exchange was seen to answer four in
+            // five set-ups so for 7 s, and the next attempt may be the fifth.
+            Outcome::Busy if reason == Reason::LinesBusy => {
+                if called != 0 {
                     self.gapped.insert(called, self.now + GAP_MS);
                 }
                 self.end(id, actions);
@@ -508,7 +526,7 @@
             && !call.tried.contains(&to)
             && self.room(to) >= call.width + reserve
         {
-            return self.admit(&call, &[to]).then_some(to);
+            return (self.admit(&call, &[to]) || self.on_trial(to)).then_some(to);
         }
         // No tandem leads on to an exchange that is told off or was never listed; the own one is reached
         // that way.
@@ -711,6 +729,16 @@
         self.backlog() < limit && way.iter().all(|to| wait(to) < limit)
     }
 
+    /// Exception for an exchange that seems stuck: now and then a call goes there all the same. Without it
+    /// one that had come back after a stall was left out for as long again, until the last call stuck there
+    /// had run out of time and what was learned from it had faded. One that is slow does answer.
+    fn on_trial(&self, to: ExchangeId) -> bool {
+        let Some(exchange) = self.exchanges.get(&to) else { return false };
+        let stuck = exchange.in_vain || self.now - exchange.oldest_out(self.now) >= STUCK_MS;
+        let silent = self.now - exchange.answered_at >= STUCK_MS;
+        stuck && silent && self.now - exchange.sent_at >= TRIAL_MS
+    }
+
     /// Rule 4. Set-ups that a cold exchange may still be sent by this agent; one is needed for a send. They
     /// grow with what it usually sent there (an agent that just started: a fair part of what it sends
     /// elsewhere), times the multiple and the part of its capacity that the exchange has by now. If every
@@ -767,9 +795,12 @@
                 full_at: f64::MIN,
                 delay: 0.0,
                 delay_at: 0.0,
+                in_vain: false,
+                sent_at: f64::MIN,
                 floor: f64::MAX,
                 out: BTreeMap::new(),
                 answered: f64::MIN,
+                answered_at: f64::MIN,
                 usual: 0.0,
                 credit: 0.0,
                 credit_at: 0.0,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -536,3 +536,40 @@
     });
     assert_eq!(host.call(5, 0, 1).sent_to(), Some(1), "nor does its time-out tell of a wait");
 }
+
+/// After a stall an exchange was left out for as long again: nothing was sent there that could have shown its end.
+#[test]
+fn an_exchange_that_seems_stuck_gets_a_trial_call_now_and_then_and_all_calls_once_it_answers() {
+    let mut host = Host::mesh(2, 1);
+    host.free(1, 30.0, 30.0);
+    let sent = |answer: &common::Answer| answer.sent_to() == Some(1);
+    assert!(sent(&host.call(1, 0, 1)));
+    host.pass(900.0);
+    assert!(!sent(&host.call(2, 0, 1)), "it may be stuck");
+    host.pass(200.0);
+    let trial = host.call(3, 0, 1);
+    let timeout = trial.actions.iter().find_map(|action| match action {
+        Action::Send { timeout_ms, .. } => Some(*timeout_ms),
+        _ => None,
+    });
+    assert_eq!(timeout, Some(600.0), "a trial that is lost frees its call in time for another try");
+    host.pass(100.0);
+    assert!(!sent(&host.call(4, 0, 1)), "one at a time");
+    host.pass(500.0);
+    assert!(sent(&host.call(5, 0, 1)));
+    host.pass(40.0);
+    host.stands(5, 1, 40.0);
+    assert!((6..9).all(|call| sent(&host.call(call, 0, 1))));
+}
+
+/// An exchange that answered four in five set-ups with a fault lost four in five calls, and not the few that four
+/// attempts leave.
+#[test]
+fn a_fault_in_signalling_is_tried_again_there_and_a_busy_number_is_not() {
+    let mut host = Host::mesh(2, 1);
+    host.free(1, 30.0, 30.0);
+    assert_eq!(host.call(1, 0, 1).sent_to(), Some(1));
+    assert_eq!(host.outcome(1, 0, 1, Outcome::Busy, Reason::None).sent_to(), Some(1));
+    let busy = host.outcome(1, 1, 1, Outcome::Busy, Reason::LinesBusy);
+    assert!(matches!(busy.actions[..], [Action::Fail { call: 1 }]), "{busy:?}");
+}
