--- a/src/decide.rs
+++ b/src/decide.rs
@@ -73,8 +73,8 @@
 /// Time between two trial calls to an exchange that has answered nothing for long, in ms: a call that would
 /// be turned away costs little as a trial, and the end of a stall shows by nothing else.
 const TRIAL_MS: f64 = 500.0;
-/// Time-out of such a call, in ms: longer than a set-up takes where nothing waits, short enough for its caller
-/// to be answered and to dial again.
+/// Time-out of such a call, in ms: longer than a set-up takes where nothing waits, short enough for its
+/// caller to be answered and to dial again.
 const TRIAL_TIMEOUT_MS: f64 = 600.0;
 /// Time constant of send rates, in ms: some calls per exchange, well under the time in which traffic shifts.
 const RATE_MS: f64 = 8_000.0;
