Call overtaken attempts off and try stuck exchanges at doubling gaps

At fault in decide.rs: a call whose answer was lost waited until its time was over, and the first trial came after 1 s without an answer. Now a direct attempt that a later one has overtaken counts as lost after three usual set-up times (0.35 s at least), is called off and sent again after the release pause; trials start after the same time and come at doubling gaps of 0.1 to 1.6 s.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,12 +22,10 @@
 /// groups.
 const SAMPLED_TOLD: usize = 6;
 /// Part of the tandems that are sampled among far legs of which nothing is known: those with the best
-/// record. At 80 exchanges five in six such calls were turned back; a half is as good, an eighth crowds
-/// onto a few.
+/// record. A half is as good, an eighth crowds onto a few.
 const BEST_PART: f64 = 1.0 / 3.0;
 /// Size of a group that says as much for the exchange beyond as against it, in circuits: exchanges with
-/// large groups have groups to most others, and thin groups of 2 or 3 circuits leave no room beyond the
-/// reserve.
+/// large groups have groups to most others, and thin groups leave no room beyond the reserve.
 const FAIR_GROUP: f64 = 10.0;
 /// How much less often an exchange has a group to one in another zone: traffic is thicker inside a zone.
 const FAR_ZONE: f64 = 0.7;
@@ -37,11 +35,9 @@
 const FAR_REPORT_MS: f64 = 10_000.0;
 /// How long a far leg counts as full after a crank-back, in ms (the design's figure).
 const CRANKBACK_MS: f64 = 10_000.0;
-/// How long a far leg counts as not there at all, in ms: groups are built or taken down in days, but a full
-/// one may be mistaken for none, and a spell without messages must not make every leg look open again.
+/// How long a far leg counts as not there at all, in ms: a full one may be mistaken for none.
 const ABSENT_MS: f64 = 60_000.0;
-/// Half-life of what is known of a processor's delay while nothing new is heard, in ms: long enough to bridge
-/// the gap between two calls to one exchange, short enough to try again soon after a stall.
+/// Half-life of what is known of a processor's delay while nothing new is heard, in ms.
 const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
 /// Weight of a new set-up time in the running delay: a few calls outvote one odd one.
 const DELAY_WEIGHT: f64 = 0.4;
@@ -54,11 +50,9 @@
 const SHED_AT: f64 = 0.4;
 /// Calls of the cheapest class are shed from this part of the wanted time on.
 const SHED_CHEAP_AT: f64 = 0.15;
-/// Circuits of a group kept free for dearer calls by the cheapest one while the group is short: a few
-/// circuits are enough for the dear calls of the next second and cost little.
+/// Circuits of a group kept free for dearer calls by the cheapest one while the group is short.
 const WORTH_RESERVE: f64 = 1.5;
-/// A group counts as short for this long after it was last seen full, in ms: the time in which a few
-/// of its circuits come free; longer blocks cheap calls for nothing.
+/// A group counts as short for this long after it was last seen full, in ms; longer blocks cheap calls.
 const SHORT_MS: f64 = 3_000.0;
 /// A refused caller is asked to dial again after this part of the wanted time: soon enough for two redials to
 /// stand in time and earn in full, late enough for circuits to have come free.
@@ -70,12 +64,11 @@
 const FREE_OUT: usize = 4;
 /// An attempt out for longer says that its far end is stuck, not that the own processor has work, in ms.
 const STUCK_MS: f64 = 1_000.0;
-/// Time between two trial calls to an exchange that has answered nothing for long, in ms: a call that would
-/// be turned away costs little as a trial, and the end of a stall shows by nothing else.
-const TRIAL_MS: f64 = 500.0;
-/// Time-out of such a call, in ms: longer than a set-up takes where nothing waits, short enough for its
-/// caller to be answered and to dial again.
-const TRIAL_TIMEOUT_MS: f64 = 600.0;
+/// Time between two trial calls to an exchange that has answered nothing for long, in ms, doubled up to four
+/// times: a call that would be turned away costs little as a trial, and nothing else shows that it answers.
+const TRIAL_MS: f64 = 100.0;
+/// An answer counts as lost after three usual set-up times, and after no less and no more ms than these.
+const LOST_MS: (f64, f64) = (350.0, 1_500.0);
 /// Time constant of send rates, in ms: some calls per exchange, well under the time in which traffic shifts.
 const RATE_MS: f64 = 8_000.0;
 /// Time between two messages to the peers, in ms: they are work for processors, and news counts for 10 s.
@@ -179,6 +172,8 @@
     /// When the latest of the attempts that were answered was sent, and when the last answer came.
     answered: f64,
     answered_at: f64,
+    /// Trial calls since then.
+    trials: u32,
     /// Own sends a second there before it last started: what is sent while it is cold must not raise its
     /// budget.
     usual: f64,
@@ -189,11 +184,16 @@
 
 impl Exchange {
     /// When the oldest attempt that is still out there and tells of a wait was sent; now if none is. One that
-    /// was overtaken by a later attempt's answer does not: a processor works in turn, so its own answer got
-    /// lost, or it waits further on. Counted as a wait, each lost answer shut its exchange out for seconds.
+    /// a later attempt's answer has overtaken does not: a processor works in turn, so its own answer is lost.
+    /// Counted as a wait, each lost answer shut its exchange out for seconds.
     fn oldest_out(&self, now: f64) -> f64 {
         self.out.values().filter(|at| **at > self.answered).fold(now, |a, b| a.min(*b))
     }
+
+    /// How long an answer may take before it counts as lost.
+    fn patience(&self) -> f64 {
+        (3.0 * self.delay).clamp(LOST_MS.0, LOST_MS.1)
+    }
 }
 
 /// The decisions of one call agent.
@@ -279,6 +279,7 @@
             Event::Call(call) => self.take(call, actions),
             Event::Stands { call, attempt, exchange, took_ms } => {
                 self.settle(call, exchange, took_ms, true);
+                self.drop_overtaken(exchange, actions);
                 if let Some(there) = self.exchanges.get_mut(&exchange).filter(|_| took_ms > 0.0) {
                     there.floor = there.floor.min(took_ms);
                 }
@@ -370,18 +371,18 @@
         call.tried.insert(to);
         exchange.out.insert(id, now);
         exchange.sent_at = now;
+        exchange.trials += u32::from(trial);
         (exchange.credit, exchange.credit_at) = (credit - 1.0, now);
         if let Some(free) = &mut exchange.free {
             *free -= call.width;
         }
         let rate = self.rates.entry(exchange.number).or_insert((0.0, now));
         *rate = (faded_rate(*rate, now) + 1_000.0 / RATE_MS, now);
-        let timeout_ms = if trial { TRIAL_TIMEOUT_MS.min(call.deadline - now) } else { call.deadline - now };
-        actions.push(Action::Send { call: id, exchange: to, timeout_ms });
+        actions.push(Action::Send { call: id, exchange: to, timeout_ms: call.deadline - now });
     }
 
-    /// Takes an attempt off the books of its exchange, and learns from how long it took: from an answer
-    /// always, from a wait in vain only if no later attempt was answered meanwhile.
+    /// Takes an attempt off the books of its exchange and learns from how long it took; from a wait in vain
+    /// only if no later attempt was answered meanwhile.
     fn settle(&mut self, id: CallId, at: ExchangeId, took: f64, answer: bool) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(&at) else { return };
@@ -389,7 +390,7 @@
         let tells = answer || sent > exchange.answered;
         if answer {
             exchange.answered = exchange.answered.max(sent);
-            exchange.answered_at = now;
+            (exchange.answered_at, exchange.trials) = (now, 0);
         }
         if tells && took.is_finite() {
             let common = decayed(self.common, now - self.common_at);
@@ -404,6 +405,17 @@
         }
     }
 
+    /// Calls off direct attempts that an answer to a later one has overtaken: theirs are lost, and their
+    /// callers still have the time for another.
+    fn drop_overtaken(&self, at: ExchangeId, actions: &mut Vec<Action>) {
+        let Some(exchange) = self.exchanges.get(&at).filter(|_| self.set.may_cancel) else { return };
+        let lost = |sent: f64| sent < exchange.answered && self.now - sent >= exchange.patience();
+        let direct = |id: &CallId| self.calls.get(id).filter(|call| call.dest == exchange.number);
+        let lost = exchange.out.iter().filter(|(_, sent)| lost(**sent));
+        let calls = lost.filter_map(|(id, _)| Some((*id, direct(id)?.attempts - 1)));
+        actions.extend(calls.map(|(call, attempt)| Action::Cancel { call, attempt }));
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn resolve(
         &mut self,
@@ -462,9 +474,9 @@
             exchange.delay = exchange.delay.max(wait).max(2.0 * self.set.classes[call.class].aim_ms);
             exchange.delay_at = self.now;
         }
-        if outcome == Outcome::Reset || (outcome == Outcome::Busy && reason != Reason::LinesBusy) {
-            // What breaks is mostly the way to an exchange: one that has died refuses the next attempt, and
-            // any other is reached as well as before.
+        // What breaks is mostly the way to an exchange: one that has died refuses the next attempt, and any
+        // other is reached as well as before.
+        if matches!(outcome, Outcome::Reset | Outcome::Cancelled | Outcome::Busy) {
             call.tried.remove(&at);
         }
         match outcome {
@@ -477,8 +489,7 @@
                 call.phase = Phase::Held { until };
                 actions.push(Action::Timer { delay_ms: self.set.release_ms, tag: u64::from(id) });
             }
-            // A busy number stays busy. A fault in signalling passes: an exchange was seen to answer four in
-            // five set-ups so for 7 s, and the next attempt may be the fifth.
+            // A busy number stays busy. A fault in signalling passes: one exchange answered four in five so.
             Outcome::Busy if reason == Reason::LinesBusy => {
                 if called != 0 {
                     self.gapped.insert(called, self.now + GAP_MS);
@@ -730,13 +741,14 @@
     }
 
     /// Exception for an exchange that seems stuck: now and then a call goes there all the same. Without it
-    /// one that had come back after a stall was left out for as long again, until the last call stuck there
-    /// had run out of time and what was learned from it had faded. One that is slow does answer.
+    /// one that had come back was left out until the last call stuck there had run out of time and what was
+    /// learned from that had faded. One that is slow does answer.
     fn on_trial(&self, to: ExchangeId) -> bool {
         let Some(exchange) = self.exchanges.get(&to) else { return false };
-        let stuck = exchange.in_vain || self.now - exchange.oldest_out(self.now) >= STUCK_MS;
-        let silent = self.now - exchange.answered_at >= STUCK_MS;
-        stuck && silent && self.now - exchange.sent_at >= TRIAL_MS
+        let patience = exchange.patience();
+        let stuck = exchange.in_vain || self.now - exchange.oldest_out(self.now) >= patience;
+        let gap = TRIAL_MS * f64::from(1 << exchange.trials.min(4));
+        stuck && self.now - exchange.answered_at >= patience && self.now - exchange.sent_at >= gap
     }
 
     /// Rule 4. Set-ups that a cold exchange may still be sent by this agent; one is needed for a send. They
@@ -801,6 +813,7 @@
                 out: BTreeMap::new(),
                 answered: f64::MIN,
                 answered_at: f64::MIN,
+                trials: 0,
                 usual: 0.0,
                 credit: 0.0,
                 credit_at: 0.0,
