Give an exchange that never tells of its group 2 s before its way is replaced

Read off the code: the 0.15 s rest on the news of the group that follows each set-up; an exchange that tells none would have lost every set-up that takes longer. Test in tests/engine.rs.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -309,7 +309,7 @@
             Input::Ended { conn, call, outcome, reason } => {
                 self.ended(conn, call, outcome, reason, effects);
             }
-            Input::GroupState { conn, report } => self.probed(conn, true, Some(report)),
+            Input::GroupState { conn, report } => self.group_told(conn, report),
             Input::Tested { conn, passed, report } => self.probed(conn, passed, report),
             Input::Reload(config) => self.reload(config, effects),
             Input::Drain => {
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -23,6 +23,8 @@
 /// processor beyond may be: a set-up takes a circuit, and the news of that came within 1 ms each of 1,158 times
 /// that were measured, and never on a way on which the set-up stayed without an answer as well.
 pub(super) const QUIET: Duration = Duration::from_millis(150);
+/// The same for an exchange that has never told anything of its group: there a set-up may take its time.
+const QUIET_UNTOLD: Duration = Duration::from_secs(2);
 /// The same for a way on which nothing is out, but calls stand whose ends would come on it.
 const SILENT: Duration = Duration::from_secs(3);
 /// When no connection has come up for this long the machine is gone, and the calls that stood there with it.
@@ -68,6 +70,8 @@
     pub(super) releases: Vec<(CallName, u8)>,
     redialling: bool,
     watched: bool,
+    /// It tells of its group.
+    tells: bool,
 }
 
 impl Engine {
@@ -106,6 +110,7 @@
                 releases: Vec::new(),
                 redialling: false,
                 watched: false,
+                tells: false,
             });
             if peer.readiness != entry.readiness {
                 (peer.readiness, peer.told_at) = (entry.readiness, now);
@@ -311,9 +316,10 @@
         let Way::Up(conn) = peer.way else { return };
         let Some(held) = self.conns.get(&conn).filter(|held| !held.bound) else { return };
         let quiet = |from: SystemTime| since(from.max(held.heard), self.now);
+        let limit = if peer.tells { QUIET } else { QUIET_UNTOLD };
         let owed = |call: &Call| {
             matches!(call.phase, Phase::Out { on, sent, .. }
-            if on == Some(conn) && held.heard <= sent && quiet(sent) >= QUIET)
+            if on == Some(conn) && held.heard <= sent && quiet(sent) >= limit)
         };
         let doubtful = peer.unreachable.is_some()
             || (quiet(held.up) >= SILENT
@@ -393,6 +399,15 @@
         ids
     }
 
+    /// News of the group toward an exchange has come unasked.
+    pub(super) fn group_told(&mut self, conn: ConnId, report: Report) {
+        let peer = self.conns.get(&conn).and_then(|held| self.peers.get_mut(&held.peer));
+        if let Some(peer) = peer {
+            peer.tells = true;
+        }
+        self.probed(conn, true, Some(report));
+    }
+
     pub(super) fn probed(&mut self, conn: ConnId, answered: bool, report: Option<Report>) {
         self.note_heard(conn);
         if let Some(exchange) = self.conns.get(&conn).map(|held| held.peer) {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -169,6 +169,13 @@
 fn a_connection_that_is_silent_after_a_set_up_is_replaced_and_one_with_news_is_not() {
     let mut desk = Desk::new(2);
     let dead = desk.way(1);
+    // One that never tells of its group is given more time.
+    let mut other = Desk::new(2);
+    other.call(1, 1, 3_000);
+    other.pass(1_500);
+    assert_eq!(other.ways.len(), 1);
+    desk.put(Input::GroupState { conn: dead, report: vec![9.0, 10.0] });
+    desk.pass(1);
     desk.call(1, 1, 3_000);
     desk.pass(140);
     assert_eq!(desk.way(1), dead);
