Call no overtaken attempt off any more: a call was lost that way; count none as backlog

Checked: nothing but the call-off gives a set-up up while its caller still waits and the way lives. An exchange that had run it sees that as the release of a call that stood, and the caller hears of it only when the next attempt ends, which may be after the 1 s that the rule allows.

So attempts are called off no longer; whoever lost an answer waits for its time to be over, as before. Overtaken ones do not count now.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,8 +41,7 @@
 const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
 /// Weight of a new set-up time in the running delay: a few calls outvote one odd one.
 const DELAY_WEIGHT: f64 = 0.4;
-/// Weight of a set-up time in the common delay where it is longer, and where it is shorter: what even the
-/// quicker calls show is the own processor's, whatever a few slow or dead exchanges add.
+/// Weight of a set-up time in the common delay where it is longer, and where it is shorter.
 const LONGER_WEIGHT: f64 = 0.03;
 const SHORTER_WEIGHT: f64 = 0.1;
 /// A call of the dearest class is shed once its set-up is expected to take this part of its wanted time:
@@ -54,11 +53,9 @@
 const WORTH_RESERVE: f64 = 1.5;
 /// A group counts as short for this long after it was last seen full, in ms; longer blocks cheap calls.
 const SHORT_MS: f64 = 3_000.0;
-/// A refused caller is asked to dial again after this part of the wanted time: soon enough for two redials to
-/// stand in time and earn in full, late enough for circuits to have come free.
+/// A refused caller is asked to dial again after this part of the wanted time: two redials may be in time.
 const REDIAL_AT: f64 = 0.3;
-/// After a call found all lines of a number busy, none goes there for this long, in ms (call gapping):
-/// calls to a crowded number are worth little and their callers dial fast; about half a call's length.
+/// After a call found all lines of a number busy, none goes there for this long, in ms (call gapping).
 const GAP_MS: f64 = 5_000.0;
 /// Set-ups out that say nothing of a backlog: fewer than this go out together by chance.
 const FREE_OUT: usize = 4;
@@ -68,7 +65,7 @@
 /// times: a call that would be turned away costs little as a trial, and nothing else shows that it answers.
 const TRIAL_MS: f64 = 100.0;
 /// An answer counts as lost after three usual set-up times, and after no less and no more ms than these.
-const LOST_MS: (f64, f64) = (350.0, 1_500.0);
+const LOST_MS: (f64, f64) = (350.0, 2_500.0);
 /// Time constant of send rates, in ms: some calls per exchange, well under the time in which traffic shifts.
 const RATE_MS: f64 = 8_000.0;
 /// Time between two messages to the peers, in ms: they are work for processors, and news counts for 10 s.
@@ -81,12 +78,11 @@
 /// circuits.
 const NO_GROUP: u8 = 255;
 const NOT_KNOWN: u8 = 254;
-/// An exchange told off for this long is forgotten, in ms: longer than any processor takes to come back.
+/// An exchange told off for this long is forgotten, in ms.
 const FORGET_MS: f64 = 60_000.0;
 /// Part of the cold budget that is used; the rest is slack for chance and for clocks that differ.
 const COLD_PART: f64 = 0.8;
-/// Most of a span's budget that may be sent in one burst; with the part above, no span holds more than the
-/// budget.
+/// Most of a span's budget that may be sent in one burst: no span then holds more than the budget.
 const COLD_BURST: f64 = 0.25;
 /// Shortest time left in which a further attempt may still be answered, in ms: a network round trip.
 const LEAST_LEFT_MS: f64 = 50.0;
@@ -279,7 +275,6 @@
             Event::Call(call) => self.take(call, actions),
             Event::Stands { call, attempt, exchange, took_ms } => {
                 self.settle(call, exchange, took_ms, true);
-                self.drop_overtaken(exchange, actions);
                 if let Some(there) = self.exchanges.get_mut(&exchange).filter(|_| took_ms > 0.0) {
                     there.floor = there.floor.min(took_ms);
                 }
@@ -405,17 +400,6 @@
         }
     }
 
-    /// Calls off direct attempts that an answer to a later one has overtaken: theirs are lost, and their
-    /// callers still have the time for another.
-    fn drop_overtaken(&self, at: ExchangeId, actions: &mut Vec<Action>) {
-        let Some(exchange) = self.exchanges.get(&at).filter(|_| self.set.may_cancel) else { return };
-        let lost = |sent: f64| sent < exchange.answered && self.now - sent >= exchange.patience();
-        let direct = |id: &CallId| self.calls.get(id).filter(|call| call.dest == exchange.number);
-        let lost = exchange.out.iter().filter(|(_, sent)| lost(**sent));
-        let calls = lost.filter_map(|(id, _)| Some((*id, direct(id)?.attempts - 1)));
-        actions.extend(calls.map(|(call, attempt)| Action::Cancel { call, attempt }));
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn resolve(
         &mut self,
@@ -715,11 +699,12 @@
     }
 
     /// How long the set-ups that are out will keep the own processor, by the rate at which it has taken them:
-    /// sees a burst (calls cut all at once and coming back) before any answer is late. A few are always free,
-    /// and what hangs at a dead far end is no backlog here (incident i590c1c).
+    /// sees a burst before any answer is late. A few are always free, and what hangs at a dead far end
+    /// (incident i590c1c) or was overtaken (r8ab643) is no backlog.
     fn backlog(&self) -> f64 {
-        let young = |at: &&f64| self.now - **at < STUCK_MS;
-        let out: usize = self.exchanges.values().map(|e| e.out.values().filter(young).count()).sum();
+        let young = |e: &Exchange, at: f64| self.now - at < STUCK_MS && at > e.answered;
+        let out = |e: &Exchange| e.out.values().filter(|at| young(e, **at)).count();
+        let out: usize = self.exchanges.values().map(out).sum();
         let rate: f64 = self.rates.values().map(|rate| faded_rate(*rate, self.now)).sum();
         out.saturating_sub(FREE_OUT) as f64 / rate.max(1.0) * 1_000.0
     }
