--- a/src/config.rs
+++ b/src/config.rs
@@ -46,6 +46,8 @@
     pub name: String,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where operators connect, if anywhere.
+    pub operator: Option<SocketAddr>,
     /// Seed of its random numbers.
     pub seed: u64,
     /// File descriptors that it may hold.
@@ -91,6 +93,10 @@
         Ok(Self {
             name: top.text("name")?,
             listen: top.text("listen")?.parse()?,
+            operator: match top.get("operator") {
+                Ok(_) => Some(top.text("operator")?.parse()?),
+                Err(_) => None,
+            },
             seed: u64::from_str_radix(&top.text("seed")?, 16)?,
             sockets: top.get("limits")?.number("sockets")? as usize,
             names: top.text("names")?.parse()?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -698,6 +698,15 @@
         !call.transit && self.gapped.get(&call.called).is_some_and(|until| *until > self.now)
     }
 
+    /// Whether no call goes to this exchange now but on trial: it is told off, or so slow that calls of every
+    /// class are shed.
+    pub fn avoids(&self, id: ExchangeId) -> bool {
+        let Some(exchange) = self.exchanges.get(&id) else { return true };
+        let dearest = self.set.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max);
+        let wait = self.expected(id) - if exchange.floor < f64::MAX { exchange.floor } else { 0.0 };
+        exchange.told_off || wait >= SHED_AT * dearest
+    }
+
     /// How long the set-ups that are out will keep the own processor, by the rate at which it has taken them:
     /// sees a burst before any answer is late. A few are always free, and what hangs at a dead far end
     /// (incident i590c1c) or was overtaken (r8ab643) is no backlog.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -16,6 +16,7 @@
 use crate::interface::{
     Action, CallId, Event, ExchangeId, ListKind, Listed, NewCall, Number, Outcome, Readiness, Reason,
 };
+use crate::ops::{Figures, Now, Order, Reply};
 
 mod peers;
 mod words;
@@ -57,6 +58,8 @@
 /// A call that is over is remembered for this long, so that what an exchange still says of it is told from
 /// news of a call that stood before this softswitch last started.
 const REMEMBER: Duration = Duration::from_secs(30);
+/// Where the resolver says nothing for this long, the list of the start has to do.
+const UNLISTED: Duration = Duration::from_secs(3);
 /// An exchange that is gone is forgotten after this long.
 const FORGET: Duration = Duration::from_secs(30);
 
@@ -192,6 +195,10 @@
     timer_count: u64,
     events: VecDeque<Event>,
     draining_since: Option<SystemTime>,
+    figures: Figures,
+    /// Since when it runs, and whether its list of exchanges is known to be the latest.
+    started: SystemTime,
+    listed: bool,
 }
 
 impl Engine {
@@ -230,6 +237,9 @@
             timer_count: 0,
             events: VecDeque::new(),
             draining_since: None,
+            figures: Figures::default(),
+            started: now,
+            listed: false,
         };
         engine.configure(config);
         engine.learn_list(config.known.clone(), ListKind::Cached, effects);
@@ -300,7 +310,16 @@
                 let passed = self.draining_since.is_none();
                 effects.push(Effect::ToCaller { link, call, word: CallerWord::Checked { passed } });
             }
-            Input::List(entries) => self.learn_list(entries, ListKind::Full, effects),
+            Input::List(entries) => {
+                self.listed = true;
+                self.learn_list(entries, ListKind::Full, effects);
+            }
+            Input::Confirmed => self.listed = true,
+            Input::Written { attempts } => self.figures.attempted(attempts),
+            Input::Operator { ticket, order } => {
+                let reply = self.operate(order);
+                effects.push(Effect::ToOperator { ticket, reply });
+            }
             Input::Connected { conn, bound } => self.connected(conn, bound, effects),
             Input::ConnectFailed { conn, refused } => self.connect_failed(conn, refused, effects),
             Input::ConnectionLost { conn } => self.connection_lost(conn, effects),
@@ -319,6 +338,27 @@
         }
     }
 
+    fn operate(&mut self, order: Order) -> Reply {
+        match order {
+            Order::Readiness if self.is_ready() => Reply::Done,
+            Order::Readiness => Reply::NotReady,
+            Order::Stats => {
+                let listed = || self.peers.iter().filter(|(_, peer)| peer.readiness != Readiness::Gone);
+                let avoided =
+                    |id: &ExchangeId, peer: &Peer| Some(peer.number) != self.home && self.module.avoids(*id);
+                let unavailable = listed().filter(|(id, peer)| avoided(id, peer)).count();
+                let now = Now { pending: self.calls.len(), members: listed().count(), unavailable };
+                Reply::Figures(self.figures.text(now))
+            }
+            Order::DrainStart | Order::DrainStop => Reply::Done,
+        }
+    }
+
+    /// Whether this process can serve: it does from its start on, but the list of that may be old news.
+    fn is_ready(&self) -> bool {
+        self.listed || since(self.started, self.now) >= UNLISTED
+    }
+
     /// Takes a new configuration whole, or none of it. The list of exchanges is not read again: it lives on
     /// with its serial, and the resolver tells what has changed since.
     fn reload(&mut self, config: Box<Config>, effects: &mut Vec<Effect>) {
@@ -337,6 +377,7 @@
         let set = &config.settings;
         let classes = config.classes.iter().zip(&set.classes);
         self.classes = classes.map(|((name, most), class)| (name.clone(), class.width, *most)).collect();
+        self.figures.know(config.classes.iter().map(|(name, _)| name.clone()));
         self.home = set.home;
         self.try_limit = set.try_limit;
         self.release_pause = span(set.release_ms);
@@ -446,6 +487,7 @@
         let Some(class) = class.filter(fits) else { return self.malformed(link, name, effects) };
         let bytes = setup.description.as_ref().map_or(0, |text| text.len());
         if self.open >= MOST_OPEN || self.open_bytes + bytes > MOST_OPEN_BYTES {
+            self.figures.rejected(&setup.class);
             let word = CallerWord::Refused { wait: self.most_wait };
             effects.push(Effect::ToCaller { link, call: name, word });
             return;
@@ -499,6 +541,11 @@
             return;
         }
         let Some(call) = self.forget(id, effects) else { return };
+        match word {
+            CallerWord::Refused { .. } => self.figures.rejected(&call.class),
+            CallerWord::Failed { .. } => self.figures.failed(&call.class),
+            _ => {}
+        }
         if released {
             self.release_caller(call.link, self.held(call.front, call.name, word), effects);
         } else if self.links.contains_key(&call.link) {
@@ -888,7 +935,8 @@
         let Phase::Out { sent, .. } = call.phase else { return };
         call.phase = Phase::Standing { at: peer };
         // A call may stand for long; what only its set-up needed is given back.
-        (call.class, call.key) = (String::new(), None);
+        self.figures.completed(&std::mem::take(&mut call.class));
+        call.key = None;
         let asked = call.description.take();
         let (attempt, took_ms) = (call.attempts - 1, millis(since(sent, self.now)));
         let (link, call) = (call.link, call.name);
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -7,6 +7,7 @@
 
 use crate::config::Config;
 use crate::interface::{ExchangeId, Number, Outcome, Readiness, Reason, Report};
+use crate::ops::{Order, Reply};
 
 /// Id of a call as all parties know it: 16 hexadecimal digits, kept as they came.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -219,6 +220,20 @@
         /// The report with it.
         report: Option<Report>,
     },
+    /// An answer of the resolver that held nothing new: the list is the latest.
+    Confirmed,
+    /// So many more set-ups were written whole to an exchange.
+    Written {
+        /// How many.
+        attempts: u64,
+    },
+    /// An operator asks for something.
+    Operator {
+        /// Whom to answer.
+        ticket: usize,
+        /// What for.
+        order: Order,
+    },
     /// A new configuration, read whole: settings and the resolver's address change; calls, exchanges and all
     /// that is known of them live on.
     Reload(Box<Config>),
@@ -302,6 +317,13 @@
         /// This.
         word: PeerWord,
     },
+    /// Answer an operator.
+    ToOperator {
+        /// Whom.
+        ticket: usize,
+        /// With this.
+        reply: Reply,
+    },
     /// Close a way to callers, once all that was said on it is written.
     CloseLink {
         /// The way.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod interface;
 pub mod load;
 pub mod net;
+pub mod ops;
 pub mod wire;
 
 pub use decide::Controller;
--- a/src/main.rs
+++ b/src/main.rs
@@ -135,7 +135,12 @@
 fn serve(path: &str, iax2: Option<Iax2Config>) -> Result<(), Box<dyn Error>> {
     // First of all: until they are handled, either signal ends the process without a word.
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
-    let server = Server::bind(Config::load(path)?, iax2)?;
+    let mut config = Config::load(path)?;
+    // The process's own word counts: the file may be one that several processes are started with.
+    if let Some(address) = std::env::var("NODE_OPERATOR").ok().filter(|address| !address.is_empty()) {
+        config.operator = Some(address.parse().map_err(|error| format!("NODE_OPERATOR: {error}"))?);
+    }
+    let server = Server::bind(config, iax2)?;
     let (to_loop, path) = (server.inbox(), path.to_owned());
     swiftlb::net::connection::small_thread("signals", move || {
         for signal in signals.forever() {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -6,6 +6,7 @@
 //! threads that alone took up the processor time that there is. So the sockets are non-blocking ones and one
 //! thread waits for all of them; the standard library cannot do that, `mio` can.
 
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::ops::ControlFlow;
@@ -73,6 +74,11 @@
     deaf: bool,
     unsent: Vec<u8>,
     sent: usize,
+    /// Bytes written since the connection came up, where the messages end that are counted once they are
+    /// written whole, and how many were since somebody asked.
+    written: u64,
+    counted: VecDeque<u64>,
+    whole: u64,
     /// Since when the peer takes nothing.
     stalled: Option<SystemTime>,
 }
@@ -88,6 +94,9 @@
             deaf: false,
             unsent: Vec::new(),
             sent: 0,
+            written: 0,
+            counted: VecDeque::new(),
+            whole: 0,
             stalled: None,
         }
     }
@@ -178,12 +187,27 @@
         self.unsent.len() - self.sent <= WAITING
     }
 
+    /// The message that is taken next, of this length, counts once it is written whole.
+    pub fn count_next(&mut self, length: usize) {
+        self.counted.push_back(self.written + (self.unsent.len() - self.sent + length) as u64);
+    }
+
+    /// How many of those that count were written whole since the last time.
+    pub fn take_written(&mut self) -> u64 {
+        std::mem::take(&mut self.whole)
+    }
+
     /// Gives the system what it takes now. A connection that breaks at this is reported by its next read.
     pub fn flush(&mut self) {
         while self.sent < self.unsent.len() && self.opening.is_none() {
             match self.stream.write(&self.unsent[self.sent..]) {
                 Ok(length) => {
                     self.sent += length;
+                    self.written += length as u64;
+                    while self.counted.front().is_some_and(|end| *end <= self.written) {
+                        self.counted.pop_front();
+                        self.whole += 1;
+                    }
                     self.stalled = None;
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -137,7 +137,8 @@
     }
 }
 
-/// Asks for ever, and hands on each list that is later than the last. `moves` says when the resolver has
+/// Asks for ever, and hands on each list that is later than the last; `None` says once, with the first good
+/// answer, that there is none. `moves` says when the resolver has
 /// another address; serials go on through that. Ends when `news` says so.
 ///
 /// # Errors
@@ -147,11 +148,12 @@
     mut serial: u32,
     seed: u64,
     moves: &Receiver<Source>,
-    mut news: impl FnMut(Vec<Entry>) -> bool,
+    mut news: impl FnMut(Option<Vec<Entry>>) -> bool,
 ) -> std::io::Result<()> {
     let mut socket = source.socket()?;
     let mut buffer = vec![0; LARGEST];
     let mut ids = Pcg64Mcg::seed_from_u64(seed);
+    let mut confirmed = false;
     let mut awaited: VecDeque<u16> = VecDeque::with_capacity(AWAITED);
     loop {
         if let Some(moved) = moves.try_iter().last() {
@@ -190,10 +192,13 @@
             };
             if let Ok((last, entries)) =
                 read_answer(awaited.make_contiguous(), &buffer[..length], &source.zones)
-                && is_later(last, serial)
             {
-                serial = last;
-                if !news(entries) {
+                let news_is = is_later(last, serial);
+                let first = !std::mem::replace(&mut confirmed, true);
+                if news_is {
+                    serial = last;
+                }
+                if (news_is || (first && last == serial)) && !news(news_is.then_some(entries)) {
                     return Ok(());
                 }
             }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,11 +14,13 @@
 use super::Message;
 use super::connection::{Connection, Ending, Late, Received};
 use super::dns::Source;
+use super::door::{Door, Ticket};
 use super::jsonl::{self, Cut, FromCaller, FromExchange, LineError};
 use crate::config::Config;
 use crate::engine::{CallName, ConnId, Effect, Front, Input, LinkId, PeerWord};
 use crate::iax2::{Endpoint, Iax2Config, Output};
 use crate::interface::Number;
+use crate::ops::{Order, Reply};
 
 /// The one link of all IAX2 callers; connections count on from it.
 pub(super) const HANDSETS: LinkId = 0;
@@ -90,6 +92,7 @@
     unsent: Vec<Token>,
     ready: Vec<Token>,
     sweep_at: SystemTime,
+    door: Option<Door>,
     handsets: Option<Handsets>,
     last_link: LinkId,
     /// What the reducer is to be told next.
@@ -102,6 +105,7 @@
     pub(super) fn new(
         config: &Config,
         mut listener: TcpListener,
+        door: Option<Door>,
         registry: Registry,
         source: Sender<Source>,
         handsets: Option<Handsets>,
@@ -122,6 +126,7 @@
             unsent: Vec::new(),
             ready: Vec::new(),
             sweep_at: SystemTime::now(),
+            door,
             handsets,
             last_link: HANDSETS,
             inputs,
@@ -150,7 +155,8 @@
         let ready = (!self.ready.is_empty()).then_some(SystemTime::UNIX_EPOCH);
         let none = self.links.is_empty() && self.conns.is_empty() && self.closing.is_empty();
         let sweep = (!none || !self.echoes.is_empty()).then_some(self.sweep_at);
-        [legs, self.done, self.accept_at, ready, sweep].into_iter().flatten().min()
+        let door = self.door.as_ref().and_then(Door::next_wake);
+        [legs, self.done, self.accept_at, ready, sweep, door].into_iter().flatten().min()
     }
 
     /// Whether the program may end: all is answered, and IAX2 peers have it or had the time to ask again.
@@ -181,6 +187,7 @@
     pub(super) fn wake(&mut self) {
         let now = SystemTime::now();
         self.on_handsets(|h, out| h.endpoint.wake(now, out));
+        self.on_door(|door, _, _| door.sweep(now));
         if self.accept_at.is_some_and(|at| at <= now) {
             self.accept_at = None;
             self.accept();
@@ -195,8 +202,11 @@
     /// Gives the system what it takes of all that was said since the last time.
     pub(super) fn flush(&mut self) {
         for token in std::mem::take(&mut self.unsent) {
-            if let Some(connection) = self.connection(Whose::of(token)) {
+            let whose = Whose::of(token);
+            if let Some(connection) = self.connection(whose) {
                 connection.flush();
+                let attempts = connection.take_written();
+                self.note_written(attempts);
             }
         }
     }
@@ -216,6 +226,9 @@
 
     /// The poll has something to say.
     pub(super) fn on_event(&mut self, token: Token) {
+        if Door::owns(token) {
+            return self.on_door(|door, registry, orders| door.on_event(token, registry, orders));
+        }
         match (token, Whose::of(token)) {
             (WAKER, _) => {}
             (LISTENER, _) => self.accept(),
@@ -224,6 +237,18 @@
         }
     }
 
+    /// Works on the operators' side and queues what it has for the reducer.
+    fn on_door(&mut self, work: impl FnOnce(&mut Door, &Registry, &mut Vec<(Ticket, Order)>)) {
+        let Some(door) = &mut self.door else { return };
+        let mut orders = Vec::new();
+        work(door, &self.registry, &mut orders);
+        self.inputs.extend(orders.into_iter().map(|(ticket, order)| Input::Operator { ticket, order }));
+    }
+
+    fn answer_operator(&mut self, ticket: Ticket, reply: &Reply) {
+        self.on_door(|door, _, _| door.answer(ticket, reply));
+    }
+
     fn accept(&mut self) {
         for _ in 0..ACCEPTS {
             match self.listener.accept() {
@@ -304,6 +329,9 @@
             }
         }
         connection.flush();
+        let attempts = connection.take_written();
+        self.note_written(attempts);
+        let Some(connection) = self.conns.get_mut(&conn) else { return };
         let (inputs, report) = (&mut self.inputs, &self.report);
         let received = connection.receive(|cut, _| {
             let read = match &cut {
@@ -403,6 +431,7 @@
                 self.say(Whose::Caller(link), &jsonl::write_caller(call, &word));
             }
             Effect::ToExchange { conn, call, word } => self.say_to_exchange(conn, call, &word),
+            Effect::ToOperator { ticket, reply } => self.answer_operator(ticket, &reply),
             Effect::CloseLink { link } => {
                 if let Some(mut connection) = self.links.remove(&link) {
                     connection.flush();
@@ -419,6 +448,8 @@
             Effect::Close { conn } => match self.conns.remove(&conn) {
                 Some(mut connection) => {
                     connection.flush();
+                    let attempts = connection.take_written();
+                    self.note_written(attempts);
                     connection.cut();
                 }
                 None => self.on_handsets(|h, _| h.endpoint.close(SystemTime::now(), conn)),
@@ -440,13 +471,26 @@
     }
 
     fn say_to_exchange(&mut self, conn: ConnId, call: CallName, word: &PeerWord) {
-        if self.conns.contains_key(&conn) {
-            self.say(Whose::Exchange(conn), &jsonl::write_exchange(call, word));
+        let attempt = matches!(word, PeerWord::SetUp { .. });
+        if let Some(connection) = self.conns.get_mut(&conn) {
+            let message = jsonl::write_exchange(call, word);
+            if attempt {
+                connection.count_next(message.len());
+            }
+            self.say(Whose::Exchange(conn), &message);
         } else {
+            self.note_written(u64::from(attempt));
             self.on_handsets(|h, out| h.endpoint.to_node(SystemTime::now(), conn, call, word, out));
         }
     }
 
+    /// Set-ups were written whole to an exchange.
+    fn note_written(&mut self, attempts: u64) {
+        if attempts > 0 {
+            self.inputs.push_back(Input::Written { attempts });
+        }
+    }
+
     /// Queues a message; whoever lets too much pile up is cut off.
     fn say(&mut self, whose: Whose, message: &[u8]) {
         let Some(connection) = self.connection(whose) else { return };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,10 +20,12 @@
 use crate::iax2::{Endpoint, Iax2Config};
 use connection::small_thread;
 use dns::Source;
+use door::Door;
 use driver::{Driver, HANDSETS, Handsets};
 
 pub mod connection;
 pub mod dns;
+mod door;
 mod driver;
 pub mod jsonl;
 
@@ -90,6 +92,7 @@
 pub struct Server {
     config: Config,
     listener: TcpListener,
+    door: Option<TcpListener>,
     handsets: Option<(Iax2Config, Arc<UdpSocket>)>,
     poll: Poll,
     messages: Receiver<Message>,
@@ -104,6 +107,7 @@
     pub fn bind(config: Config, iax2: Option<Iax2Config>) -> Result<Self, ServeError> {
         let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
         listener.set_nonblocking(true).map_err(system("listen"))?;
+        let door = config.operator.map(Door::bind).transpose().map_err(system("listen for operators"))?;
         let handsets = match iax2 {
             Some(iax2) => {
                 let socket = UdpSocket::bind(iax2.listen).map_err(system("listen for IAX2"))?;
@@ -114,7 +118,7 @@
         let poll = Poll::new().map_err(system("poll"))?;
         let waker = Arc::new(Waker::new(poll.registry(), driver::WAKER).map_err(system("waker"))?);
         let (sender, messages) = bounded(WAITING);
-        Ok(Self { config, listener, handsets, poll, messages, inbox: Inbox { sender, waker } })
+        Ok(Self { config, listener, door, handsets, poll, messages, inbox: Inbox { sender, waker } })
     }
 
     /// Where it listens.
@@ -125,6 +129,11 @@
         self.listener.local_addr()
     }
 
+    /// Where operators reach it; `None` where there is no door for them.
+    pub fn operator_address(&self) -> Option<SocketAddr> {
+        self.door.as_ref().and_then(|door| door.local_addr().ok())
+    }
+
     /// Where IAX2 callers reach it; `None` where that front is off.
     pub fn handset_address(&self) -> Option<SocketAddr> {
         self.handsets.as_ref().and_then(|(_, socket)| socket.local_addr().ok())
@@ -140,7 +149,7 @@
     /// # Errors
     /// If something that it cannot do without is not to be had.
     pub fn run(self) -> Result<(), ServeError> {
-        let Self { config, listener, handsets, mut poll, messages, inbox } = self;
+        let Self { config, listener, door, handsets, mut poll, messages, inbox } = self;
         if let Ok(address) = listener.local_addr() {
             eprintln!("swiftlb: {} serves on {address}", config.name);
         }
@@ -164,8 +173,12 @@
         let mut engine = Engine::new(&config, SystemTime::now(), &mut effects)?;
         let registry = poll.registry().try_clone().map_err(system("poll"))?;
         let listener = mio::net::TcpListener::from_std(listener);
-        let mut driver =
-            Driver::new(&config, listener, registry, source, handsets, inputs).map_err(system("listen"))?;
+        let door = door
+            .map(|door| Door::open(door, &registry))
+            .transpose()
+            .map_err(system("listen for operators"))?;
+        let mut driver = Driver::new(&config, listener, door, registry, source, handsets, inputs)
+            .map_err(system("listen"))?;
         let mut events = Events::with_capacity(EVENTS);
         for effect in effects.drain(..) {
             driver.perform(effect);
@@ -194,8 +207,13 @@
                 }
                 _ => {}
             }
+            // Operators first: they are owed an answer whatever callers do.
             // The reducer runs after each connection, so that none can pile up inputs before the others.
-            for event in &events {
+            for event in events.iter().filter(|event| Door::owns(event.token())) {
+                driver.on_event(event.token());
+                turn(&mut driver);
+            }
+            for event in events.iter().filter(|event| !Door::owns(event.token())) {
                 driver.on_event(event.token());
                 turn(&mut driver);
             }
@@ -218,7 +236,8 @@
     let (serial, seed, to_loop) = (config.serial, config.seed, inbox.clone());
     let (mover, moves) = bounded(MOVES);
     let follow = move || {
-        let news = |list| to_loop.send(Message::Input(Input::List(list))).is_ok();
+        let input = |list: Option<_>| list.map_or(Input::Confirmed, Input::List);
+        let news = |list| to_loop.send(Message::Input(input(list))).is_ok();
         if let Err(error) = dns::follow(source, serial, seed, &moves, news) {
             eprintln!("swiftlb: resolver: {error}");
         }
--- a/tests/common/desk.rs
+++ b/tests/common/desk.rs
@@ -28,7 +28,7 @@
         )
     };
     format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","names":"{names}",
+        r#"{{"name":"n0","listen":"{listen}","operator":"127.0.0.1:0","seed":"8c1f30d27a5be964","names":"{names}",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
         "known":{{"n":1,"events":[{{"n":1,"members":{{"revision":0,"complete":true,"members":[{}]}}}}]}},
         "settings":{{"balancers":{},"selfIndex":0,"classes":[{},{}],"tenants":[],"overShareWorth":0.1,
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -1,7 +1,7 @@
 //! Stand-ins on loopback: a softswitch under test, exchanges and callers of both fronts.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,7 @@
 pub struct Switch {
     pub address: SocketAddr,
     pub handsets: Option<SocketAddr>,
+    pub door: SocketAddr,
     pub to_loop: Inbox,
     pub thread: Option<std::thread::JoinHandle<bool>>,
     _resolver: UdpSocket,
@@ -44,9 +45,31 @@
         let iax2 = Iax2Config::parse(&iax2).expect("an IAX2 configuration");
         let server = Server::bind(config, iax2).expect("ports on loopback");
         let (address, handsets) = (server.address().expect("an address"), server.handset_address());
+        let door = server.operator_address().expect("a door");
         let to_loop = server.inbox();
         let thread = Some(std::thread::spawn(move || server.run().is_ok()));
-        Self { address, handsets, to_loop, thread, _resolver: resolver }
+        Self { address, handsets, door, to_loop, thread, _resolver: resolver }
+    }
+
+    /// An operator's call: the status and the body of its answer.
+    pub fn ask(&self, call: &str) -> (u32, String) {
+        ask(self.door, call)
+    }
+
+    /// One figure.
+    pub fn figure(&self, name: &str) -> String {
+        let text = self.ask("GET /ops/stats").1;
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line.unwrap_or("none").to_owned()
+    }
+
+    /// Waits until a figure has this value.
+    pub fn await_figure(&self, name: &str, value: &str) {
+        let until = Instant::now() + PATIENCE;
+        while self.figure(name) != value {
+            assert!(Instant::now() < until, "{name} is {}, not {value}", self.figure(name));
+            std::thread::sleep(Duration::from_millis(5));
+        }
     }
 
     /// Tells it to stop and waits until it has.
@@ -57,6 +80,23 @@
     }
 }
 
+/// One call at an operators' door: the status and the body of its answer.
+pub fn ask(door: SocketAddr, call: &str) -> (u32, String) {
+    let mut stream = TcpStream::connect(door).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    write!(stream, "{call} HTTP/1.1\r\nHost: localhost\r\nContent-Length: 0\r\n\r\n").expect("it reads");
+    hear(stream)
+}
+
+/// The answer to a call at the operators' door.
+pub fn hear(mut stream: TcpStream) -> (u32, String) {
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer in time");
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    assert!(head.contains(&format!("Content-Length: {}", body.len())), "{answer}");
+    (head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status"), body.to_owned())
+}
+
 /// One end of a connection that speaks JSON lines.
 pub struct Lines {
     stream: TcpStream,
