--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -58,6 +58,16 @@
 /// A call that is over is remembered for this long, so that what an exchange still says of it is told from
 /// news of a call that stood before this softswitch last started.
 const REMEMBER: Duration = Duration::from_secs(30);
+/// From this long after the order to drain on, callers' connections are closed: until then the front sends new
+/// ones, and finds out what the test says.
+const EMPTY_AFTER: Duration = Duration::from_millis(300);
+/// Time between two looks at what is still open.
+const EMPTY_EVERY: Duration = Duration::from_millis(50);
+/// Until this long after the order one connection is kept while calls stand: releases are owed within 1 s, and
+/// while the front sends nobody, callers may not connect for long. Then it is emptied too: at 4 s none may be open
+/// that is idle or that brought a call less than 2 s before.
+const EMPTY_BY: Duration = Duration::from_millis(3_700);
+const EMPTY_RECENT: Duration = Duration::from_millis(1_900);
 /// Where the resolver says nothing for this long, the list of the start has to do.
 const UNLISTED: Duration = Duration::from_secs(3);
 /// An exchange that is gone is forgotten after this long.
@@ -110,6 +120,8 @@
     Held,
     /// The drain may be over.
     Drained,
+    /// Close what callers hold open (since this order to drain).
+    Empty(SystemTime),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,6 +159,8 @@
     heard: SystemTime,
     /// It has brought a line.
     spoke: bool,
+    /// It has brought tests and nothing else: whoever only tests reads nothing that concerns calls.
+    tester: bool,
     /// A call that came on it was answered by an exchange.
     served: bool,
     malformed: u32,
@@ -185,6 +199,8 @@
     open_bytes: usize,
     most_wait: Duration,
     held: VecDeque<Held>,
+    /// A timer runs for them.
+    held_timer: bool,
     /// Releases that were sent a moment ago, and on which way: it may turn out that nobody read them.
     fresh: VecDeque<(SystemTime, LinkId, Held)>,
     /// Calls that are over, oldest first, and the same for looking them up.
@@ -195,6 +211,8 @@
     timer_count: u64,
     events: VecDeque<Event>,
     draining_since: Option<SystemTime>,
+    /// Since when an operator has callers sent away.
+    emptying: Option<SystemTime>,
     figures: Figures,
     /// Since when it runs, and whether its list of exchanges is known to be the latest.
     started: SystemTime,
@@ -229,6 +247,7 @@
             open_bytes: 0,
             most_wait: Duration::ZERO,
             held: VecDeque::new(),
+            held_timer: false,
             fresh: VecDeque::new(),
             over: VecDeque::new(),
             over_names: HashSet::new(),
@@ -237,6 +256,7 @@
             timer_count: 0,
             events: VecDeque::new(),
             draining_since: None,
+            emptying: None,
             figures: Figures::default(),
             started: now,
             listed: false,
@@ -306,8 +326,12 @@
                 self.hang_up(link, call, cause, effects);
             }
             Input::Check { link, call } => {
-                self.heard(link, effects);
-                let passed = self.draining_since.is_none();
+                // Guards against the loss of releases on the connections that the front only tests with.
+                if let Some(held) = self.links.get_mut(&link) {
+                    held.tester = !held.spoke;
+                    held.heard = self.now;
+                }
+                let passed = self.draining_since.is_none() && self.emptying.is_none();
                 effects.push(Effect::ToCaller { link, call, word: CallerWord::Checked { passed } });
             }
             Input::List(entries) => {
@@ -350,7 +374,17 @@
                 let now = Now { pending: self.calls.len(), members: listed().count(), unavailable };
                 Reply::Figures(self.figures.text(now))
             }
-            Order::DrainStart | Order::DrainStop => Reply::Done,
+            Order::DrainStart => {
+                if self.emptying.is_none() {
+                    self.emptying = Some(self.now);
+                    self.set_timer(EMPTY_AFTER, Timer::Empty(self.now));
+                }
+                Reply::Done
+            }
+            Order::DrainStop => {
+                self.emptying = None;
+                Reply::Done
+            }
         }
     }
 
@@ -414,8 +448,67 @@
             }
             Timer::Quiet(conn) => self.check_quiet(conn, effects),
             Timer::Idle(link) => self.check_idle(link, effects),
-            Timer::Held => self.send_held(effects),
+            Timer::Held => {
+                self.held_timer = false;
+                self.send_held(effects);
+            }
             Timer::Drained => self.try_exit(effects),
+            Timer::Empty(order) => self.empty(order, effects),
+        }
+    }
+
+    /// Sends callers away while a drain lasts: closes each connection of theirs that holds nothing open.
+    fn empty(&mut self, order: SystemTime, effects: &mut Vec<Effect>) {
+        if self.emptying != Some(order) {
+            return;
+        }
+        self.set_timer(EMPTY_EVERY, Timer::Empty(order));
+        let late = since(order, self.now) >= EMPTY_BY;
+        let in_use = |link: &Link| late && since(order, link.heard) >= EMPTY_RECENT;
+        let links: Vec<(LinkId, bool)> = self.links.iter().map(|(id, link)| (*id, in_use(link))).collect();
+        let open = self.links_in_use();
+        let kept = if late { None } else { self.kept_for_releases() };
+        for (link, in_use) in links {
+            if !open.contains(&link) && kept != Some(link) {
+                self.close_if_empty(link, effects);
+            } else if in_use {
+                self.spoil(link, effects);
+            }
+        }
+    }
+
+    /// The connection that goes last, because the ends of the calls that stand are told on it.
+    fn kept_for_releases(&self) -> Option<LinkId> {
+        let stands =
+            |call: &Call| call.front == Front::Platform && matches!(call.phase, Phase::Standing { .. });
+        let any = self.calls.values().any(stands);
+        let callers =
+            self.links.iter().filter(|(_, link)| any && link.front == Front::Platform && link.spoke);
+        callers.max_by_key(|(id, link)| (link.served, std::cmp::Reverse(**id))).map(|(id, _)| *id)
+    }
+
+    /// Closes a connection of callers that are being sent away; no set-up is open on it.
+    fn close_if_empty(&self, id: LinkId, effects: &mut Vec<Effect>) {
+        let Some(link) = self.links.get(&id).filter(|link| link.front == Front::Platform) else { return };
+        let leaving = self.emptying.is_some_and(|order| since(order, self.now) >= EMPTY_AFTER);
+        // One that has just come has something to say.
+        if leaving && (link.spoke || link.tester || since(link.heard, self.now) >= EMPTY_AFTER) {
+            effects.push(Effect::CloseIfQuiet { link: id });
+        }
+    }
+
+    /// Ways to callers on which set-ups are open.
+    fn links_in_use(&self) -> HashSet<LinkId> {
+        let open = self.calls.values().filter(|call| !matches!(call.phase, Phase::Standing { .. }));
+        open.map(|call| call.link).collect()
+    }
+
+    /// A call has had its answer: its connection may have nothing more open.
+    fn answered_on(&self, link: LinkId, effects: &mut Vec<Effect>) {
+        let Some(order) = self.emptying else { return };
+        let kept = since(order, self.now) < EMPTY_BY && self.kept_for_releases() == Some(link);
+        if !kept && !self.links_in_use().contains(&link) {
+            self.close_if_empty(link, effects);
         }
     }
 
@@ -486,7 +579,9 @@
         };
         let Some(class) = class.filter(fits) else { return self.malformed(link, name, effects) };
         let bytes = setup.description.as_ref().map_or(0, |text| text.len());
-        if self.open >= MOST_OPEN || self.open_bytes + bytes > MOST_OPEN_BYTES {
+        // Handsets have no front that stops sending: they are told themselves.
+        let sent_away = self.emptying.is_some() && front == Front::Handsets;
+        if sent_away || self.open >= MOST_OPEN || self.open_bytes + bytes > MOST_OPEN_BYTES {
             self.figures.rejected(&setup.class);
             let word = CallerWord::Refused { wait: self.most_wait };
             effects.push(Effect::ToCaller { link, call: name, word });
@@ -550,6 +645,7 @@
             self.release_caller(call.link, self.held(call.front, call.name, word), effects);
         } else if self.links.contains_key(&call.link) {
             effects.push(Effect::ToCaller { link: call.link, call: call.name, word });
+            self.answered_on(call.link, effects);
         }
         self.try_exit(effects);
     }
@@ -595,16 +691,18 @@
     /// served or at least came, else, after a moment, on any, else on the next.
     fn release_caller(&mut self, first: LinkId, held: Held, effects: &mut Vec<Effect>) {
         let waited = since(held.since, self.now) >= BETTER_WAY;
-        let of_front = self.links.iter().filter(|(_, link)| link.front == held.front);
-        let best = of_front.max_by_key(|(_, link)| (link.served, link.spoke, link.heard));
-        let good = best.filter(|(_, link)| waited || link.spoke || link.front == Front::Handsets);
+        let of_front = self.links.iter().filter(|(_, link)| link.front == held.front && !link.tester);
+        let silent = |link: &Link| waited && since(link.heard, self.now) >= BETTER_WAY;
+        let good = of_front.filter(|(_, link)| link.spoke || link.front == Front::Handsets || silent(link));
+        let good = good.max_by_key(|(_, link)| (link.served, link.spoke, link.heard));
         let link = if self.links.contains_key(&first) { Some(first) } else { good.map(|(link, _)| *link) };
         let Some(link) = link else {
-            if !waited {
+            let now = self.now;
+            // While callers are sent away there may be no way for long.
+            self.held.retain(|held| held.until > now || self.emptying.is_some());
+            if !std::mem::replace(&mut self.held_timer, true) {
                 self.set_timer(BETTER_WAY, Timer::Held);
             }
-            let now = self.now;
-            self.held.retain(|held| held.until > now);
             self.held.push_back(held);
             return;
         };
@@ -617,7 +715,7 @@
     /// Sends what waits for a way to callers.
     fn send_held(&mut self, effects: &mut Vec<Effect>) {
         for held in std::mem::take(&mut self.held) {
-            if held.until > self.now {
+            if held.until > self.now || self.emptying.is_some() {
                 self.release_caller(NO_LINK, held, effects);
             }
         }
@@ -644,7 +742,7 @@
             }
             self.set_timer(FIRST_LINE, Timer::Idle(link));
         }
-        let new = Link { front, heard: self.now, spoke: false, served: false, malformed: 0 };
+        let new = Link { front, heard: self.now, spoke: false, tester: false, served: false, malformed: 0 };
         self.links.insert(link, new);
         self.send_held(effects);
     }
@@ -663,7 +761,7 @@
         let rank = |id: &LinkId, link: &Link| match calls.get(id).copied().unwrap_or_default() {
             (true, _) => None,
             (false, true) => Some(2),
-            _ if link.spoke => Some(1),
+            _ if link.spoke || link.tester => Some(1),
             _ if since(link.heard, self.now) >= FRESH => Some(0),
             _ => Some(3),
         };
@@ -685,7 +783,7 @@
     fn heard(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
         let now = self.now;
         let Some(link) = self.links.get_mut(&link) else { return };
-        link.heard = now;
+        (link.heard, link.tester) = (now, false);
         if !std::mem::replace(&mut link.spoke, true) && !self.held.is_empty() {
             self.send_held(effects);
         }
@@ -694,7 +792,7 @@
     /// Closes a connection from callers that says nothing, or that is held on to without a call.
     fn check_idle(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
         let Some(held) = self.links.get(&link) else { return };
-        let limit = if held.spoke { IDLE } else { FIRST_LINE };
+        let limit = if held.spoke || held.tester { IDLE } else { FIRST_LINE };
         let idle = since(held.heard, self.now);
         if self.calls.values().any(|call| call.link == link) {
             self.set_timer(IDLE, Timer::Idle(link));
@@ -945,6 +1043,7 @@
             link.served = true;
         }
         effects.push(Effect::ToCaller { link, call, word: CallerWord::Answer { description } });
+        self.answered_on(link, effects);
         self.events.push_back(Event::Stands { call: id, attempt, exchange: peer, took_ms });
         self.try_exit(effects);
     }
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -329,6 +329,11 @@
         /// The way.
         link: LinkId,
     },
+    /// Close a way to callers, unless more has come on it: then that counts first, and this is asked again.
+    CloseIfQuiet {
+        /// The way.
+        link: LinkId,
+    },
     /// Open a way to an exchange.
     Connect {
         /// The way.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -221,6 +221,11 @@
         (self.unsent, self.sent, self.stalled) = (Vec::new(), 0, None);
     }
 
+    /// Whether a line has begun that has not ended.
+    pub fn has_begun(&self) -> bool {
+        self.lines.has_begun()
+    }
+
     /// Whether all has been given to the system.
     pub fn is_flushed(&self) -> bool {
         self.unsent.is_empty()
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -440,6 +440,7 @@
                     }
                 }
             }
+            Effect::CloseIfQuiet { link } => self.close_if_quiet(link),
             Effect::Connect { conn, number, address, .. } if self.speaks_iax2(number) => {
                 let limit = self.connect_timeout;
                 self.on_handsets(|h, out| h.endpoint.connect(SystemTime::now(), conn, address, limit, out));
@@ -470,6 +471,23 @@
         }
     }
 
+    /// Closes a connection from callers if all that has come on it is read and nothing has begun. A set-up that
+    /// waits in it unread would be lost with it.
+    fn close_if_quiet(&mut self, link: LinkId) {
+        let waiting = self.inputs.len();
+        self.read_caller(link);
+        if self.inputs.len() > waiting || self.links.get(&link).is_none_or(Connection::has_begun) {
+            return;
+        }
+        let Some(mut connection) = self.links.remove(&link) else { return };
+        connection.flush();
+        // The reducer hears of it before anything else comes, so that it sends nothing more there.
+        self.inputs.push_front(Input::LinkDown { link });
+        if !connection.is_flushed() {
+            self.closing.push((SystemTime::now() + LAST_WORDS, connection));
+        }
+    }
+
     fn say_to_exchange(&mut self, conn: ConnId, call: CallName, word: &PeerWord) {
         let attempt = matches!(word, PeerWord::SetUp { .. });
         if let Some(connection) = self.conns.get_mut(&conn) {
@@ -493,7 +511,13 @@
 
     /// Queues a message; whoever lets too much pile up is cut off.
     fn say(&mut self, whose: Whose, message: &[u8]) {
-        let Some(connection) = self.connection(whose) else { return };
+        let Some(connection) = self.connection(whose) else {
+            if let Whose::Caller(link) = whose {
+                // Closed a moment ago: a release that was meant for it finds another way.
+                self.inputs.push_back(Input::Unheard { link });
+            }
+            return;
+        };
         if connection.send(message) {
             self.unsent.push(whose.token());
             return;
