--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,8 @@
 //! Reads top to bottom: constants, state, events, admission, route choice, the one place that sends, what is
 //! learned of other exchanges, upkeep. Time comes from events alone, randomness from the seed alone.
 
+pub mod beliefs;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::seq::SliceRandom;
@@ -196,6 +198,8 @@
 #[derive(Clone, Debug)]
 pub struct Controller {
     set: Settings,
+    /// Processes that make up the softswitch: each has its part of the cold budgets.
+    processes: f64,
     rng: Pcg64Mcg,
     now: f64,
     started: bool,
@@ -228,6 +232,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let (top_value, top_worth) = tops(&settings)?;
         Ok(Self {
+            processes: 1.0,
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0.0,
             started: false,
@@ -263,6 +268,11 @@
         Ok(())
     }
 
+    /// So many processes make up this softswitch from now on.
+    pub fn share(&mut self, processes: u8) {
+        self.processes = f64::from(processes.max(1));
+    }
+
     /// Takes one event at this time (ms) and adds the actions that answer it.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -698,13 +708,11 @@
         !call.transit && self.gapped.get(&call.called).is_some_and(|until| *until > self.now)
     }
 
-    /// Whether no call goes to this exchange now but on trial: it is told off, or so slow that calls of every
-    /// class are shed.
+    /// Whether no call goes there now but on trial: told off, or so slow that every class is shed.
     pub fn avoids(&self, id: ExchangeId) -> bool {
-        let Some(exchange) = self.exchanges.get(&id) else { return true };
-        let dearest = self.set.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max);
-        let wait = self.expected(id) - if exchange.floor < f64::MAX { exchange.floor } else { 0.0 };
-        exchange.told_off || wait >= SHED_AT * dearest
+        let most = self.set.classes.iter().map(|c| SHED_AT * c.aim_ms).fold(0.0, f64::max);
+        let shed = |e: &Exchange| self.expected(id) - if e.floor < f64::MAX { e.floor } else { 0.0 } >= most;
+        self.exchanges.get(&id).is_none_or(|e| e.told_off || shed(e))
     }
 
     /// How long the set-ups that are out will keep the own processor, by the rate at which it has taken them:
@@ -762,7 +770,7 @@
         let all: f64 = others.map(|(_, rate)| faded_rate(*rate, self.now)).sum();
         let fair = all / self.by_number.len().max(1) as f64;
         let usual = if exchange.usual > 0.0 { exchange.usual } else { fair };
-        let per_ms = COLD_PART * self.set.fall_multiple * grown * usual / 1_000.0;
+        let per_ms = COLD_PART * self.set.fall_multiple * grown * usual / self.processes / 1_000.0;
         let most = (COLD_BURST * per_ms * self.set.fall_ms).max(1.0);
         (exchange.credit + per_ms * (self.now - exchange.credit_at)).min(most)
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -13,16 +13,21 @@
 use crate::Controller;
 use crate::config::Config;
 use crate::decide::SettingsError;
+use crate::decide::beliefs::Belief;
 use crate::interface::{
     Action, CallId, Event, ExchangeId, ListKind, Listed, NewCall, Number, Outcome, Readiness, Reason,
 };
 use crate::ops::{Figures, Now, Order, Reply};
 
 mod peers;
+mod twin;
 mod words;
 
 use peers::{Conn, Peer, QUIET, Way};
-pub use words::{CallName, CallerWord, ConnId, Effect, Entry, Front, Input, LinkId, PeerWord, SetUp};
+use twin::Role;
+pub use words::{
+    CallName, CallerWord, ConnId, Effect, Entry, Front, Inheritance, Input, LinkId, PeerWord, SetUp, TwinWord,
+};
 
 /// A final answer that the module has not given this long after the caller's time is given for it: well
 /// inside the 50 ms that the rules allow on sockets.
@@ -58,6 +63,8 @@
 /// A call that is over is remembered for this long, so that what an exchange still says of it is told from
 /// news of a call that stood before this softswitch last started.
 const REMEMBER: Duration = Duration::from_secs(30);
+/// A process that has just started may say that it can serve with ways still being opened after this time.
+const CONNECTED: Duration = Duration::from_secs(1);
 /// From this long after the order to drain on, callers' connections are closed: until then the front sends new
 /// ones, and finds out what the test says.
 const EMPTY_AFTER: Duration = Duration::from_millis(300);
@@ -122,6 +129,10 @@
     Drained,
     /// Close what callers hold open (since this order to drain).
     Empty(SystemTime),
+    /// The process may be ready to serve.
+    Begin,
+    /// Nothing may be left to stay for.
+    Leave,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -194,6 +205,8 @@
     last_peer: u32,
     links: BTreeMap<LinkId, Link>,
     most_links: usize,
+    /// Descriptors that the softswitch may hold.
+    sockets: usize,
     /// Set-ups without an answer, and bytes of their descriptions.
     open: usize,
     open_bytes: usize,
@@ -213,6 +226,13 @@
     draining_since: Option<SystemTime>,
     /// Since when an operator has callers sent away.
     emptying: Option<SystemTime>,
+    /// The other process of this softswitch, while there is one.
+    twin: Option<Role>,
+    /// It takes connections from callers; one that takes the place of another does so once it is ready.
+    accepting: bool,
+    /// It was told to stop, and another process has taken its place.
+    leaving: bool,
+    serial: u32,
     figures: Figures,
     /// Since when it runs, and whether its list of exchanges is known to be the latest.
     started: SystemTime,
@@ -243,6 +263,7 @@
             last_peer: 0,
             links: BTreeMap::new(),
             most_links: 0,
+            sockets: 0,
             open: 0,
             open_bytes: 0,
             most_wait: Duration::ZERO,
@@ -251,12 +272,17 @@
             fresh: VecDeque::new(),
             over: VecDeque::new(),
             over_names: HashSet::new(),
-            tests: 0,
+            // Ids of tests are its own: no other process with the same seed may have had them.
+            tests: !config.seed,
             timers: BinaryHeap::new(),
             timer_count: 0,
             events: VecDeque::new(),
             draining_since: None,
             emptying: None,
+            twin: None,
+            accepting: true,
+            leaving: false,
+            serial: config.serial,
             figures: Figures::default(),
             started: now,
             listed: false,
@@ -298,6 +324,7 @@
         }
         self.take(input, effects);
         self.run_module(effects);
+        self.begin(effects);
     }
 
     fn take(&mut self, input: Input, effects: &mut Vec<Effect>) {
@@ -334,11 +361,10 @@
                 let passed = self.draining_since.is_none() && self.emptying.is_none();
                 effects.push(Effect::ToCaller { link, call, word: CallerWord::Checked { passed } });
             }
-            Input::List(entries) => {
-                self.listed = true;
-                self.learn_list(entries, ListKind::Full, effects);
-            }
-            Input::Confirmed => self.listed = true,
+            Input::List(entries) => self.learn_list(entries, ListKind::Full, effects),
+            Input::Listed { serial } => (self.listed, self.serial) = (true, serial),
+            Input::Twin(word) => self.hear_twin(word, effects),
+            Input::TwinDown => self.lose_twin(effects),
             Input::Written { attempts } => self.figures.attempted(attempts),
             Input::Operator { ticket, order } => {
                 let reply = self.operate(order);
@@ -355,6 +381,7 @@
             Input::GroupState { conn, report } => self.group_told(conn, report),
             Input::Tested { conn, passed, report } => self.probed(conn, passed, report),
             Input::Reload(config) => self.reload(config, effects),
+            Input::Drain if self.succeeded() => self.leave_to_successor(effects),
             Input::Drain => {
                 self.draining_since.get_or_insert(self.now);
                 self.set_timer(DRAIN, Timer::Drained);
@@ -388,9 +415,12 @@
         }
     }
 
-    /// Whether this process can serve: it does from its start on, but the list of that may be old news.
+    /// Whether this process can serve: it does from its start on, but the list of that may be old news, and its
+    /// ways to the exchanges take a moment.
     fn is_ready(&self) -> bool {
-        self.listed || since(self.started, self.now) >= UNLISTED
+        let age = since(self.started, self.now);
+        let dials = |peer: &Peer| matches!(peer.way, Way::Dialling(_));
+        (self.listed || age >= UNLISTED) && (age >= CONNECTED || !self.peers.values().any(dials))
     }
 
     /// Takes a new configuration whole, or none of it. The list of exchanges is not read again: it lives on
@@ -417,8 +447,8 @@
         self.release_pause = span(set.release_ms);
         self.drain_grace = span(set.drain_grace_ms);
         self.most_wait = span(set.max_retry_after_ms);
-        // Callers hold at most a third of the descriptors; the rest is for exchanges and growth.
-        self.most_links = (config.sockets / 2).max(1);
+        self.sockets = config.sockets;
+        self.divide();
     }
 
     fn set_timer(&mut self, delay: Duration, timer: Timer) {
@@ -454,6 +484,9 @@
             }
             Timer::Drained => self.try_exit(effects),
             Timer::Empty(order) => self.empty(order, effects),
+            // What it waits for is looked at after each input.
+            Timer::Begin => {}
+            Timer::Leave => self.look_whether_empty(effects),
         }
     }
 
@@ -490,7 +523,8 @@
     /// Closes a connection of callers that are being sent away; no set-up is open on it.
     fn close_if_empty(&self, id: LinkId, effects: &mut Vec<Effect>) {
         let Some(link) = self.links.get(&id).filter(|link| link.front == Front::Platform) else { return };
-        let leaving = self.emptying.is_some_and(|order| since(order, self.now) >= EMPTY_AFTER);
+        let leaving =
+            self.leaving || self.emptying.is_some_and(|order| since(order, self.now) >= EMPTY_AFTER);
         // One that has just come has something to say.
         if leaving && (link.spoke || link.tester || since(link.heard, self.now) >= EMPTY_AFTER) {
             effects.push(Effect::CloseIfQuiet { link: id });
@@ -505,14 +539,21 @@
 
     /// A call has had its answer: its connection may have nothing more open.
     fn answered_on(&self, link: LinkId, effects: &mut Vec<Effect>) {
-        let Some(order) = self.emptying else { return };
-        let kept = since(order, self.now) < EMPTY_BY && self.kept_for_releases() == Some(link);
+        let kept = match self.emptying {
+            Some(order) => since(order, self.now) < EMPTY_BY && self.kept_for_releases() == Some(link),
+            None if self.leaving => false,
+            None => return,
+        };
         if !kept && !self.links_in_use().contains(&link) {
             self.close_if_empty(link, effects);
         }
     }
 
     fn try_exit(&mut self, effects: &mut Vec<Effect>) {
+        let callers = || self.links.values().any(|link| link.front == Front::Platform);
+        if self.leaving && self.calls.is_empty() && self.held.is_empty() && !callers() {
+            effects.push(Effect::Exit);
+        }
         let Some(start) = self.draining_since else { return };
         let waiting = self.calls.values().any(|c| !matches!(c.phase, Phase::Standing { .. }));
         if !waiting && since(start, self.now) >= DRAIN {
@@ -552,7 +593,7 @@
             Action::Timer { delay_ms, tag } => self.set_timer(span(delay_ms), Timer::Module(tag)),
             Action::Probe { exchange } => {
                 if let Some(Way::Up(conn)) = self.peers.get(&exchange).map(|peer| peer.way) {
-                    self.tests += 1;
+                    self.tests = self.tests.wrapping_add(1);
                     let call = CallName::from_u64(self.tests);
                     effects.push(Effect::ToExchange { conn, call, word: PeerWord::Test });
                 }
@@ -580,7 +621,7 @@
         let Some(class) = class.filter(fits) else { return self.malformed(link, name, effects) };
         let bytes = setup.description.as_ref().map_or(0, |text| text.len());
         // Handsets have no front that stops sending: they are told themselves.
-        let sent_away = self.emptying.is_some() && front == Front::Handsets;
+        let sent_away = (self.emptying.is_some() || self.leaving) && front == Front::Handsets;
         if sent_away || self.open >= MOST_OPEN || self.open_bytes + bytes > MOST_OPEN_BYTES {
             self.figures.rejected(&setup.class);
             let word = CallerWord::Refused { wait: self.most_wait };
@@ -700,6 +741,10 @@
             let now = self.now;
             // While callers are sent away there may be no way for long.
             self.held.retain(|held| held.until > now || self.emptying.is_some());
+            if self.succeeded() && held.front == Front::Platform {
+                let cut = held.word == CallerWord::Released { cut: true };
+                return effects.push(Effect::ToTwin(TwinWord::Release { call: held.call, cut }));
+            }
             if !std::mem::replace(&mut self.held_timer, true) {
                 self.set_timer(BETTER_WAY, Timer::Held);
             }
@@ -725,6 +770,7 @@
     /// call belongs to no connection and stays.
     fn lose_link(&mut self, link: LinkId, effects: &mut Vec<Effect>) {
         self.links.remove(&link);
+        self.try_exit(effects);
         let open = |call: &Call| call.link == link && !matches!(call.phase, Phase::Standing { .. });
         for id in self.calls_where(open) {
             self.leave(id, effects);
@@ -835,7 +881,13 @@
     }
 
     fn hang_up(&mut self, link: LinkId, name: CallName, cause: u8, effects: &mut Vec<Effect>) {
-        let Some(id) = self.by_name.get(&name).copied() else { return };
+        let Some(id) = self.by_name.get(&name).copied() else {
+            // It may stand at the other process: what ends a call may come on any connection.
+            if self.twin.is_some() && link != NO_LINK && !self.over_names.contains(&name) {
+                effects.push(Effect::ToTwin(TwinWord::HangUp { call: name, cause }));
+            }
+            return;
+        };
         // A call that stands belongs to no connection; a set-up is its own connection's alone to give up.
         match self.calls[&id].phase {
             Phase::Standing { .. } => {}
@@ -1059,6 +1111,10 @@
         self.note_heard(conn);
         let unknown = !self.by_name.contains_key(&name) && !self.over_names.contains(&name);
         if unknown && self.conns.contains_key(&conn) {
+            if self.twin.is_some() && matches!(outcome, Outcome::Ended | Outcome::Reset) {
+                let cut = outcome == Outcome::Reset;
+                return effects.push(Effect::ToTwin(TwinWord::Ended { call: name, cut }));
+            }
             return self.pass_release(name, outcome, effects);
         }
         let Some((id, peer)) = self.call_at(conn, name) else { return };
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -59,6 +59,8 @@
     pub(super) name: Arc<str>,
     pub(super) address: SocketAddr,
     pub(super) number: Number,
+    pub(super) zone: u16,
+    pub(super) born: Option<SystemTime>,
     pub(super) readiness: Readiness,
     pub(super) told_at: SystemTime,
     pub(super) way: Way,
@@ -102,6 +104,8 @@
                 name: entry.name.clone(),
                 address: entry.address,
                 number: entry.number,
+                zone: entry.zone,
+                born: entry.born,
                 readiness: entry.readiness,
                 told_at: now,
                 way: Way::Down,
@@ -116,6 +120,7 @@
                 (peer.readiness, peer.told_at) = (entry.readiness, now);
             }
             (peer.address, peer.number) = (entry.address, entry.number);
+            (peer.zone, peer.born) = (entry.zone, entry.born);
         }
         let gone: Vec<ExchangeId> = self
             .peers
--- a/src/engine/words.rs
+++ b/src/engine/words.rs
@@ -98,6 +98,63 @@
     pub description: Option<Arc<str>>,
 }
 
+/// What the two processes of a softswitch tell each other while one takes the place of the other.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TwinWord {
+    /// The new one: hand over.
+    Hello,
+    /// The old one: an exchange of its list.
+    Exchange(Entry),
+    /// The old one: something that its decisions have learned, of the exchange with this name if of one.
+    Belief {
+        /// What it is about.
+        topic: String,
+        /// Name of the exchange.
+        of: Option<Arc<str>>,
+        /// The figures.
+        values: Vec<f64>,
+    },
+    /// The old one: that was all, and the list is the one of this serial.
+    Whole {
+        /// Number of the last event in the list.
+        serial: u32,
+    },
+    /// The new one: it serves.
+    Serving,
+    /// A caller's word on a call that stands, which may be the other's.
+    HangUp {
+        /// The call.
+        call: CallName,
+        /// Cause (Q.850).
+        cause: u8,
+    },
+    /// An exchange's word that a call is over, which may be the other's.
+    Ended {
+        /// The call.
+        call: CallName,
+        /// Whether it was cut before its end.
+        cut: bool,
+    },
+    /// A call is over, and the other one may have a way to its caller.
+    Release {
+        /// The call.
+        call: CallName,
+        /// Whether it was cut before its end.
+        cut: bool,
+    },
+}
+
+/// What a process starts from that takes the place of another.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Inheritance {
+    /// The list of exchanges, and its serial.
+    pub list: Vec<Entry>,
+    /// Number of the last event in it.
+    pub serial: u32,
+    /// What was learned, in the order in which it came: topic, name of the exchange, figures.
+    pub beliefs: Vec<(String, Option<Arc<str>>, Vec<f64>)>,
+}
+
 /// Something that has happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
@@ -220,8 +277,15 @@
         /// The report with it.
         report: Option<Report>,
     },
-    /// An answer of the resolver that held nothing new: the list is the latest.
-    Confirmed,
+    /// The resolver's word: the list that was last learned is the latest, and has this serial.
+    Listed {
+        /// Number of the last event in it.
+        serial: u32,
+    },
+    /// The other process of this softswitch said something.
+    Twin(TwinWord),
+    /// It is gone.
+    TwinDown,
     /// So many more set-ups were written whole to an exchange.
     Written {
         /// How many.
@@ -324,6 +388,10 @@
         /// With this.
         reply: Reply,
     },
+    /// Tell the other process of this softswitch.
+    ToTwin(TwinWord),
+    /// Take connections from callers from now on, or leave them to the other process.
+    Accept(bool),
     /// Close a way to callers, once all that was said on it is written.
     CloseLink {
         /// The way.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::io::Write;
+use std::net::TcpListener;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use swiftlb::engine::Input;
 use swiftlb::iax2::Iax2Config;
 use swiftlb::load::{Load, Plan};
+use swiftlb::net::handover::adopt;
 use swiftlb::net::{Message, Server};
 
 const USAGE: &str = "\
@@ -132,6 +134,14 @@
     Ok(Iax2Config::parse(&text)?)
 }
 
+/// The listening socket that the platform holds and names in $NODE_FD.
+fn inherited_listener() -> Option<TcpListener> {
+    let number = std::env::var("NODE_FD").ok().filter(|number| !number.is_empty())?;
+    let adopted = number.parse().map_err(std::io::Error::other).and_then(adopt);
+    // Without it the address may still be free.
+    adopted.inspect_err(|error| eprintln!("swiftlb: descriptor {number}: {error}")).ok()
+}
+
 fn serve(path: &str, iax2: Option<Iax2Config>) -> Result<(), Box<dyn Error>> {
     // First of all: until they are handled, either signal ends the process without a word.
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
@@ -140,7 +150,10 @@
     if let Some(address) = std::env::var("NODE_OPERATOR").ok().filter(|address| !address.is_empty()) {
         config.operator = Some(address.parse().map_err(|error| format!("NODE_OPERATOR: {error}"))?);
     }
-    let server = Server::bind(config, iax2)?;
+    let server = match inherited_listener() {
+        Some(listener) => Server::inherit(listener, &std::env::temp_dir(), config, iax2)?,
+        None => Server::bind(config, iax2)?,
+    };
     let (to_loop, path) = (server.inbox(), path.to_owned());
     swiftlb::net::connection::small_thread("signals", move || {
         for signal in signals.forever() {
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -138,7 +138,7 @@
 }
 
 /// Asks for ever, and hands on each list that is later than the last; `None` says once, with the first good
-/// answer, that there is none. `moves` says when the resolver has
+/// answer, that there is none. The serial is that of the list that counts now. `moves` says when the resolver has
 /// another address; serials go on through that. Ends when `news` says so.
 ///
 /// # Errors
@@ -148,7 +148,7 @@
     mut serial: u32,
     seed: u64,
     moves: &Receiver<Source>,
-    mut news: impl FnMut(Option<Vec<Entry>>) -> bool,
+    mut news: impl FnMut(u32, Option<Vec<Entry>>) -> bool,
 ) -> std::io::Result<()> {
     let mut socket = source.socket()?;
     let mut buffer = vec![0; LARGEST];
@@ -198,7 +198,7 @@
                 if news_is {
                     serial = last;
                 }
-                if (news_is || (first && last == serial)) && !news(news_is.then_some(entries)) {
+                if (news_is || (first && last == serial)) && !news(serial, news_is.then_some(entries)) {
                     return Ok(());
                 }
             }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,6 +15,7 @@
 use super::connection::{Connection, Ending, Late, Received};
 use super::dns::Source;
 use super::door::{Door, Ticket};
+use super::handover::Handover;
 use super::jsonl::{self, Cut, FromCaller, FromExchange, LineError};
 use crate::config::Config;
 use crate::engine::{CallName, ConnId, Effect, Front, Input, LinkId, PeerWord};
@@ -92,7 +93,10 @@
     unsent: Vec<Token>,
     ready: Vec<Token>,
     sweep_at: SystemTime,
+    /// Whether connections from callers are taken.
+    accepting: bool,
     door: Option<Door>,
+    handover: Option<Handover>,
     handsets: Option<Handsets>,
     last_link: LinkId,
     /// What the reducer is to be told next.
@@ -105,7 +109,7 @@
     pub(super) fn new(
         config: &Config,
         mut listener: TcpListener,
-        door: Option<Door>,
+        (door, handover): (Option<Door>, Option<Handover>),
         registry: Registry,
         source: Sender<Source>,
         handsets: Option<Handsets>,
@@ -126,7 +130,9 @@
             unsent: Vec::new(),
             ready: Vec::new(),
             sweep_at: SystemTime::now(),
+            accepting: true,
             door,
+            handover,
             handsets,
             last_link: HANDSETS,
             inputs,
@@ -229,6 +235,9 @@
         if Door::owns(token) {
             return self.on_door(|door, registry, orders| door.on_event(token, registry, orders));
         }
+        if Handover::owns(token) {
+            return self.on_handover(|handover, registry, inputs| handover.on_event(token, registry, inputs));
+        }
         match (token, Whose::of(token)) {
             (WAKER, _) => {}
             (LISTENER, _) => self.accept(),
@@ -245,11 +254,37 @@
         self.inputs.extend(orders.into_iter().map(|(ticket, order)| Input::Operator { ticket, order }));
     }
 
+    /// Works on the side of the other process of this softswitch.
+    fn on_handover(&mut self, work: impl FnOnce(&mut Handover, &Registry, &mut VecDeque<Input>)) {
+        if let Some(handover) = &mut self.handover {
+            work(handover, &self.registry, &mut self.inputs);
+        }
+    }
+
+    /// Takes connections from callers, or leaves them to the other process that listens on the same socket.
+    fn accept_or_not(&mut self, accepting: bool) {
+        if std::mem::replace(&mut self.accepting, accepting) == accepting {
+            return;
+        }
+        let watched = if accepting {
+            self.registry.register(&mut self.listener, LISTENER, Interest::READABLE)
+        } else {
+            self.accept_at = None;
+            self.registry.deregister(&mut self.listener)
+        };
+        if let Err(error) = watched {
+            eprintln!("swiftlb: listening socket: {error}");
+        }
+    }
+
     fn answer_operator(&mut self, ticket: Ticket, reply: &Reply) {
         self.on_door(|door, _, _| door.answer(ticket, reply));
     }
 
     fn accept(&mut self) {
+        if !self.accepting {
+            return;
+        }
         for _ in 0..ACCEPTS {
             match self.listener.accept() {
                 Ok((stream, _)) => {
@@ -431,6 +466,10 @@
                 self.say(Whose::Caller(link), &jsonl::write_caller(call, &word));
             }
             Effect::ToExchange { conn, call, word } => self.say_to_exchange(conn, call, &word),
+            Effect::ToTwin(word) => self.on_handover(|handover, registry, inputs| {
+                handover.say(&word, registry, inputs);
+            }),
+            Effect::Accept(accepting) => self.accept_or_not(accepting),
             Effect::ToOperator { ticket, reply } => self.answer_operator(ticket, &reply),
             Effect::CloseLink { link } => {
                 if let Some(mut connection) = self.links.remove(&link) {
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,342 @@
+//! How one process of a softswitch takes the place of another: the listening socket that both hold, and the Unix
+//! socket on which they talk while both live.
+
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::ops::ControlFlow;
+use std::os::unix::net as blocking;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use mio::net::{UnixListener, UnixStream};
+use mio::{Interest, Registry, Token};
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use thiserror::Error;
+use tinyjson::JsonValue;
+
+use super::jsonl::{Cut, Lines};
+use crate::config::parse_json;
+use crate::engine::{CallName, Entry, Inheritance, Input, TwinWord};
+use crate::interface::Readiness;
+
+/// How long the other process may take for all that it hands over. It answers between two turns of its loop.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Bytes that may be handed over, and that may wait to be written.
+const MOST: usize = 1 << 20;
+/// Its tokens count from here up to those of the operators' door.
+const BASE: usize = 1 << 61;
+const END: usize = 1 << 62;
+const LISTENER: Token = Token(BASE);
+
+/// What is wrong with what the other process says.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("not a word between two processes of a softswitch")]
+pub struct WordError;
+
+/// The listening socket that this process inherited as the descriptor of this number. The number stays open beside
+/// it, and whether the socket blocks is the same for all who hold it.
+///
+/// # Errors
+/// If there is no such descriptor, or it is no socket that listens.
+pub fn adopt(number: i32) -> io::Result<TcpListener> {
+    let this = pidfd_open(getpid(), PidfdFlags::empty())?;
+    let listener = TcpListener::from(pidfd_getfd(&this, number, PidfdGetfdFlags::empty())?);
+    listener.local_addr()?;
+    Ok(listener)
+}
+
+/// Where two processes meet that share this folder for temporary files and listen at this address.
+pub fn meeting_place(folder: &Path, listen: SocketAddr) -> PathBuf {
+    folder.join(format!("swiftlb-{listen}"))
+}
+
+fn object(say: &str, fields: Vec<(&str, JsonValue)>) -> Vec<u8> {
+    let mut object: HashMap<String, JsonValue> = fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect();
+    object.insert("say".to_owned(), say.to_owned().into());
+    let mut line = JsonValue::from(object).stringify().unwrap_or_default().into_bytes();
+    line.push(b'\n');
+    line
+}
+
+/// A word as it is sent.
+pub fn write(word: &TwinWord) -> Vec<u8> {
+    let call = |call: &CallName| ("call", call.as_str().to_owned().into());
+    match word {
+        TwinWord::Hello => object("hello", Vec::new()),
+        TwinWord::Serving => object("serving", Vec::new()),
+        TwinWord::Whole { serial } => object("whole", vec![("serial", f64::from(*serial).into())]),
+        TwinWord::HangUp { call: name, cause } => {
+            object("hangup", vec![call(name), ("cause", f64::from(*cause).into())])
+        }
+        TwinWord::Ended { call: name, cut } => object("ended", vec![call(name), ("cut", (*cut).into())]),
+        TwinWord::Release { call: name, cut } => object("release", vec![call(name), ("cut", (*cut).into())]),
+        TwinWord::Belief { topic, of, values } => {
+            let values: Vec<JsonValue> = values.iter().map(|value| (*value).into()).collect();
+            let of = of.as_ref().map_or(JsonValue::Null, |name| name.to_string().into());
+            object("belief", vec![("topic", topic.clone().into()), ("of", of), ("values", values.into())])
+        }
+        TwinWord::Exchange(entry) => {
+            // Exactly the moment that it was: another one would be another start.
+            let born = entry.born.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
+            let born = born.map_or(JsonValue::Null, |span| span.as_nanos().to_string().into());
+            let draining = entry.readiness == Readiness::Draining;
+            let fields = vec![
+                ("name", entry.name.to_string().into()),
+                ("address", entry.address.to_string().into()),
+                ("number", f64::from(entry.number).into()),
+                ("zone", f64::from(entry.zone).into()),
+                ("born", born),
+                ("draining", draining.into()),
+            ];
+            object("exchange", fields)
+        }
+    }
+}
+
+/// Reads a word.
+///
+/// # Errors
+/// If it is none.
+pub fn read(line: &[u8]) -> Result<TwinWord, WordError> {
+    let text = std::str::from_utf8(line).map_err(|_| WordError)?;
+    let json = parse_json(text).map_err(|_| WordError)?;
+    let object = json.get::<HashMap<String, JsonValue>>().ok_or(WordError)?;
+    let field = |key: &str| object.get(key).ok_or(WordError);
+    let text = |key: &str| field(key)?.get::<String>().cloned().ok_or(WordError);
+    let whole = |key: &str, most: f64| {
+        let number = field(key)?.get::<f64>().copied();
+        number.filter(|n| n.fract() == 0.0 && (0.0..=most).contains(n)).ok_or(WordError)
+    };
+    let flag = |key: &str| field(key)?.get::<bool>().copied().ok_or(WordError);
+    let call = || CallName::parse(&text("call")?).ok_or(WordError);
+    Ok(match text("say")?.as_str() {
+        "hello" => TwinWord::Hello,
+        "serving" => TwinWord::Serving,
+        "whole" => TwinWord::Whole { serial: whole("serial", f64::from(u32::MAX))? as u32 },
+        "hangup" => TwinWord::HangUp { call: call()?, cause: whole("cause", 255.0)? as u8 },
+        "ended" => TwinWord::Ended { call: call()?, cut: flag("cut")? },
+        "release" => TwinWord::Release { call: call()?, cut: flag("cut")? },
+        "belief" => {
+            let values = field("values")?.get::<Vec<JsonValue>>().ok_or(WordError)?;
+            let values: Option<Vec<f64>> = values.iter().map(|value| value.get::<f64>().copied()).collect();
+            let of = if field("of")?.is_null() { None } else { Some(text("of")?.into()) };
+            TwinWord::Belief { topic: text("topic")?, of, values: values.ok_or(WordError)? }
+        }
+        "exchange" => {
+            let born = if field("born")?.is_null() {
+                None
+            } else {
+                let nanos: u64 = text("born")?.parse().map_err(|_| WordError)?;
+                Some(UNIX_EPOCH + Duration::from_nanos(nanos))
+            };
+            TwinWord::Exchange(Entry {
+                name: text("name")?.into(),
+                address: text("address")?.parse().map_err(|_| WordError)?,
+                number: whole("number", f64::from(u32::MAX))? as u32,
+                zone: whole("zone", f64::from(u16::MAX))? as u16,
+                born,
+                readiness: if flag("draining")? { Readiness::Draining } else { Readiness::Ready },
+            })
+        }
+        _ => return Err(WordError),
+    })
+}
+
+/// What another process has handed over, and the connection to it.
+#[derive(Debug)]
+pub struct Handed {
+    stream: blocking::UnixStream,
+    lines: Lines,
+    /// Words that came behind.
+    later: Vec<TwinWord>,
+}
+
+/// Asks the process that serves now, if there is one, to hand over.
+///
+/// # Errors
+/// If none is there, or what it says is not whole: then this process starts as if there were none.
+pub fn inherit(place: &Path) -> io::Result<(Handed, Inheritance)> {
+    let mut stream = blocking::UnixStream::connect(place)?;
+    let until = SystemTime::now() + PATIENCE;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    stream.write_all(&write(&TwinWord::Hello))?;
+    let (mut inheritance, mut lines, mut later) = (Inheritance::default(), Lines::default(), Vec::new());
+    let (mut whole, mut taken, mut buffer) = (false, 0, vec![0; 16 * 1024]);
+    let spoilt = || io::Error::new(ErrorKind::InvalidData, WordError);
+    while !whole {
+        let left = until.duration_since(SystemTime::now()).map_err(|_| ErrorKind::TimedOut)?;
+        stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        let length = stream.read(&mut buffer)?;
+        taken += length;
+        if length == 0 || taken > MOST {
+            return Err(spoilt());
+        }
+        let read = lines.push(&buffer[..length], |cut| {
+            let Cut::Whole(line) = cut else { return ControlFlow::Break(()) };
+            match read(&line) {
+                Ok(word) if whole => later.push(word),
+                Ok(TwinWord::Exchange(entry)) => inheritance.list.push(entry),
+                Ok(TwinWord::Belief { topic, of, values }) => inheritance.beliefs.push((topic, of, values)),
+                Ok(TwinWord::Whole { serial }) => (inheritance.serial, whole) = (serial, true),
+                Ok(word) => later.push(word),
+                Err(WordError) => return ControlFlow::Break(()),
+            }
+            ControlFlow::Continue(())
+        });
+        if read.is_break() {
+            return Err(spoilt());
+        }
+    }
+    if inheritance.list.is_empty() {
+        return Err(spoilt());
+    }
+    Ok((Handed { stream, lines, later }, inheritance))
+}
+
+struct Other {
+    stream: UnixStream,
+    token: Token,
+    lines: Lines,
+    unsent: Vec<u8>,
+    /// It has said something.
+    heard: bool,
+}
+
+/// The meeting place and the other process, while there is one.
+pub(super) struct Handover {
+    place: PathBuf,
+    listener: Option<UnixListener>,
+    other: Option<Other>,
+    last: usize,
+}
+
+impl Handover {
+    /// Goes on with the process that has handed over, or waits for one that takes this one's place.
+    pub(super) fn new(
+        place: PathBuf,
+        handed: Option<Handed>,
+        registry: &Registry,
+        inputs: &mut impl Extend<Input>,
+    ) -> Self {
+        let mut this = Self { place, listener: None, other: None, last: 0 };
+        match handed {
+            Some(Handed { stream, lines, later }) => {
+                inputs.extend(later.into_iter().map(Input::Twin));
+                let other = stream.set_nonblocking(true).map(|()| UnixStream::from_std(stream));
+                if !other.is_ok_and(|stream| this.take(stream, lines, registry)) {
+                    inputs.extend([Input::TwinDown]);
+                }
+            }
+            None => this.listen(registry),
+        }
+        this
+    }
+
+    /// Whether the poll means it by this token.
+    pub(super) fn owns(token: Token) -> bool {
+        (BASE..END).contains(&token.0)
+    }
+
+    /// Waits where the next process will ask. Without that place it would start as if this one were not there.
+    pub(super) fn listen(&mut self, registry: &Registry) {
+        // A file that a former process left is of no use to anyone.
+        let _ = std::fs::remove_file(&self.place);
+        let listener = UnixListener::bind(&self.place).and_then(|mut listener| {
+            registry.register(&mut listener, LISTENER, Interest::READABLE)?;
+            Ok(listener)
+        });
+        match listener {
+            Ok(listener) => self.listener = Some(listener),
+            Err(error) => eprintln!("swiftlb: no process can take the place of this one: {error}"),
+        }
+    }
+
+    fn take(&mut self, mut stream: UnixStream, lines: Lines, registry: &Registry) -> bool {
+        self.last += 1;
+        let token = Token(BASE + self.last);
+        let watched = registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).is_ok();
+        if watched {
+            self.other = Some(Other { stream, token, lines, unsent: Vec::new(), heard: false });
+        }
+        watched
+    }
+
+    /// The poll has something to say.
+    pub(super) fn on_event(&mut self, token: Token, registry: &Registry, inputs: &mut impl Extend<Input>) {
+        if token == LISTENER {
+            while let Some(Ok((stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
+                // One at a time; who has said nothing yet has no place to lose.
+                if self.other.as_ref().is_none_or(|other| !other.heard) {
+                    self.take(stream, Lines::default(), registry);
+                }
+            }
+        }
+        let Some(other) = self.other.as_mut().filter(|other| token == LISTENER || other.token == token)
+        else {
+            return;
+        };
+        let mut buffer = [0; 4 * 1024];
+        let gone = loop {
+            match other.stream.read(&mut buffer) {
+                Ok(0) => break true,
+                Ok(length) => {
+                    let read = other.lines.push(&buffer[..length], |cut| {
+                        let Cut::Whole(line) = cut else { return ControlFlow::Break(()) };
+                        let Ok(word) = read(&line) else { return ControlFlow::Break(()) };
+                        other.heard = true;
+                        inputs.extend([Input::Twin(word)]);
+                        ControlFlow::Continue(())
+                    });
+                    if read.is_break() {
+                        break true;
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break false,
+                Err(_) => break true,
+            }
+        };
+        if gone {
+            self.lose(registry, inputs);
+        } else {
+            self.flush(registry, inputs);
+        }
+    }
+
+    fn lose(&mut self, registry: &Registry, inputs: &mut impl Extend<Input>) {
+        if self.other.take().is_some() {
+            // A process that had taken this one's place may have moved into the meeting place.
+            self.listen(registry);
+            inputs.extend([Input::TwinDown]);
+        }
+    }
+
+    /// Tells the other process.
+    pub(super) fn say(&mut self, word: &TwinWord, registry: &Registry, inputs: &mut impl Extend<Input>) {
+        let Some(other) = &mut self.other else { return };
+        other.unsent.extend(write(word));
+        if other.unsent.len() > MOST {
+            return self.lose(registry, inputs);
+        }
+        self.flush(registry, inputs);
+        // From here on a third process is to ask this one.
+        if *word == TwinWord::Serving {
+            self.listen(registry);
+        }
+    }
+
+    fn flush(&mut self, registry: &Registry, inputs: &mut impl Extend<Input>) {
+        let Some(other) = &mut self.other else { return };
+        while !other.unsent.is_empty() {
+            match other.stream.write(&other.unsent) {
+                Ok(length) => {
+                    other.unsent.drain(..length);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => return self.lose(registry, inputs),
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -16,17 +17,19 @@
 
 use crate::config::Config;
 use crate::decide::SettingsError;
-use crate::engine::{Engine, Front, Input};
+use crate::engine::{Engine, Front, Inheritance, Input};
 use crate::iax2::{Endpoint, Iax2Config};
 use connection::small_thread;
 use dns::Source;
 use door::Door;
 use driver::{Driver, HANDSETS, Handsets};
+use handover::{Handed, Handover};
 
 pub mod connection;
 pub mod dns;
 mod door;
 mod driver;
+pub mod handover;
 pub mod jsonl;
 
 /// Messages of other threads that may wait for the loop; their senders wait beyond that.
@@ -97,6 +100,14 @@
     poll: Poll,
     messages: Receiver<Message>,
     inbox: Inbox,
+    succession: Option<Succession>,
+}
+
+/// How it came to its listening socket, where another process may take its place or it takes another's.
+#[derive(Debug)]
+struct Succession {
+    place: PathBuf,
+    handed: Option<(Handed, Inheritance)>,
 }
 
 impl Server {
@@ -106,6 +117,38 @@
     /// If one cannot be had.
     pub fn bind(config: Config, iax2: Option<Iax2Config>) -> Result<Self, ServeError> {
         let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
+        Self::on(listener, config, iax2)
+    }
+
+    /// Takes a listening socket that was inherited, and the place of the process that serves on it now, if one
+    /// is met in this folder. Whatever goes wrong at that, this is then a start like any other.
+    ///
+    /// # Errors
+    /// If another address cannot be had.
+    pub fn inherit(
+        listener: TcpListener,
+        folder: &Path,
+        config: Config,
+        iax2: Option<Iax2Config>,
+    ) -> Result<Self, ServeError> {
+        let place = handover::meeting_place(folder, listener.local_addr().map_err(system("listen"))?);
+        let handed = match handover::inherit(&place) {
+            Ok(handed) => Some(handed),
+            Err(error) if matches!(error.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => None,
+            Err(error) => {
+                eprintln!("swiftlb: nothing can be taken over: {error}");
+                None
+            }
+        };
+        // The seed is that of the process before: random choices, and ids that are made from them, must differ.
+        let now =
+            SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+        let seed = config.seed.rotate_left(17) ^ now ^ (u64::from(std::process::id()) << 32);
+        let server = Self::on(listener, Config { seed, ..config }, iax2)?;
+        Ok(Self { succession: Some(Succession { place, handed }), ..server })
+    }
+
+    fn on(listener: TcpListener, config: Config, iax2: Option<Iax2Config>) -> Result<Self, ServeError> {
         listener.set_nonblocking(true).map_err(system("listen"))?;
         let door = config.operator.map(Door::bind).transpose().map_err(system("listen for operators"))?;
         let handsets = match iax2 {
@@ -118,7 +161,16 @@
         let poll = Poll::new().map_err(system("poll"))?;
         let waker = Arc::new(Waker::new(poll.registry(), driver::WAKER).map_err(system("waker"))?);
         let (sender, messages) = bounded(WAITING);
-        Ok(Self { config, listener, door, handsets, poll, messages, inbox: Inbox { sender, waker } })
+        Ok(Self {
+            config,
+            listener,
+            door,
+            handsets,
+            poll,
+            messages,
+            inbox: Inbox { sender, waker },
+            succession: None,
+        })
     }
 
     /// Where it listens.
@@ -149,13 +201,22 @@
     /// # Errors
     /// If something that it cannot do without is not to be had.
     pub fn run(self) -> Result<(), ServeError> {
-        let Self { config, listener, door, handsets, mut poll, messages, inbox } = self;
+        let Self { mut config, listener, door, handsets, mut poll, messages, inbox, succession } = self;
         if let Ok(address) = listener.local_addr() {
             eprintln!("swiftlb: {} serves on {address}", config.name);
         }
         if let Some(address) = handsets.as_ref().and_then(|(_, socket)| socket.local_addr().ok()) {
             eprintln!("swiftlb: IAX2 on {address}");
         }
+        let (place, handed) = succession.map_or((None, None), |s| (Some(s.place), s.handed));
+        let (handed, inheritance) = handed.unzip();
+        if let Some(inheritance) = &inheritance {
+            eprintln!(
+                "swiftlb: takes the place of another process, with {} exchanges",
+                inheritance.list.len()
+            );
+            config.serial = inheritance.serial;
+        }
         let source = follow_resolver(&config, &inbox)?;
         let mut inputs = VecDeque::new();
         let handsets = match handsets {
@@ -170,14 +231,19 @@
             None => None,
         };
         let mut effects = Vec::new();
-        let mut engine = Engine::new(&config, SystemTime::now(), &mut effects)?;
+        let now = SystemTime::now();
+        let mut engine = match inheritance {
+            Some(inheritance) => Engine::succeed(&config, inheritance, now, &mut effects)?,
+            None => Engine::new(&config, now, &mut effects)?,
+        };
         let registry = poll.registry().try_clone().map_err(system("poll"))?;
+        let handover = place.map(|place| Handover::new(place, handed, &registry, &mut inputs));
         let listener = mio::net::TcpListener::from_std(listener);
         let door = door
             .map(|door| Door::open(door, &registry))
             .transpose()
             .map_err(system("listen for operators"))?;
-        let mut driver = Driver::new(&config, listener, door, registry, source, handsets, inputs)
+        let mut driver = Driver::new(&config, listener, (door, handover), registry, source, handsets, inputs)
             .map_err(system("listen"))?;
         let mut events = Events::with_capacity(EVENTS);
         for effect in effects.drain(..) {
@@ -236,8 +302,10 @@
     let (serial, seed, to_loop) = (config.serial, config.seed, inbox.clone());
     let (mover, moves) = bounded(MOVES);
     let follow = move || {
-        let input = |list: Option<_>| list.map_or(Input::Confirmed, Input::List);
-        let news = |list| to_loop.send(Message::Input(input(list))).is_ok();
+        let tell = |input| to_loop.send(Message::Input(input)).is_ok();
+        let news = |serial, list: Option<_>| {
+            list.is_none_or(|list| tell(Input::List(list))) && tell(Input::Listed { serial })
+        };
         if let Err(error) = dns::follow(source, serial, seed, &moves, news) {
             eprintln!("swiftlb: resolver: {error}");
         }
--- a/tests/resolver.rs
+++ b/tests/resolver.rs
@@ -76,7 +76,7 @@
     let (mover, moves) = bounded(1);
     let source = first.source();
     let follow =
-        move || dns::follow(source, 5, 1, &moves, |list| list.is_none_or(|list| told.send(list).is_ok()));
+        move || dns::follow(source, 5, 1, &moves, |_, list| list.is_none_or(|list| told.send(list).is_ok()));
     std::thread::spawn(follow);
     let late = first.query();
     let second_query = first.query();
