--- a/src/decide.rs
+++ b/src/decide.rs
@@ -392,7 +392,7 @@
         let now = self.now;
         let Some(exchange) = self.exchanges.get_mut(&at) else { return };
         let Some(sent) = exchange.out.remove(&id) else { return };
-        let tells = answer || sent > exchange.answered;
+        let tells = if answer { sent >= exchange.answered } else { sent > exchange.answered };
         if answer {
             exchange.answered = exchange.answered.max(sent);
             (exchange.answered_at, exchange.trials) = (now, 0);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -570,3 +570,23 @@
     let busy = host.outcome(1, 1, 1, Outcome::Busy, Reason::LinesBusy);
     assert!(matches!(busy.actions[..], [Action::Fail { call: 1 }]), "{busy:?}");
 }
+
+/// One answer that came a second late shut its exchange out for one and a half, although later calls had been
+/// answered at once.
+#[test]
+fn an_answer_that_a_later_one_has_overtaken_tells_of_no_wait_either() {
+    let mut host = Host::mesh(2, 1);
+    host.free(1, 30.0, 30.0);
+    for call in 1..=2 {
+        assert_eq!(host.call(call, 0, 1).sent_to(), Some(1));
+        host.pass(20.0);
+    }
+    host.stands(2, 1, 40.0);
+    host.pass(1_000.0);
+    host.stands(1, 1, 1_040.0);
+    assert_eq!(host.call(3, 0, 1).sent_to(), Some(1));
+    // Two that went together and came together both count.
+    host.pass(900.0);
+    host.stands(3, 1, 900.0);
+    assert_eq!(host.call(4, 0, 1).sent_to(), None, "this one was overtaken by nobody");
+}
