--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1008,6 +1008,13 @@
         self.close_attempt(id, to, sent, outcome, Reason::None);
     }
 
+    /// Nothing is out for the call any more, so nothing is called off either.
+    fn attempt_ended(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.phase = Phase::Open;
+        }
+    }
+
     /// The attempt that is out has ended without setting the call up.
     fn attempt_over(&mut self, id: CallId, outcome: Outcome, reason: Reason) {
         let Some(Phase::Out { to, sent, .. }) = self.calls.get(&id).map(|call| call.phase) else { return };
@@ -1120,8 +1127,13 @@
         let Some((id, peer)) = self.call_at(conn, name) else { return };
         match self.calls[&id].phase {
             Phase::Standing { .. } => self.end_standing(id, peer, outcome, effects),
-            // A normal end before any answer is no end that an exchange may give: the set-up has failed.
-            _ if outcome == Outcome::Ended => self.attempt_over(id, Outcome::Busy, Reason::None),
+            // A normal end before any answer: the call stood, its answer was lost, and now it is over. Guards
+            // against setting it up once more, under an id that is over for the exchange and its caller.
+            _ if outcome == Outcome::Ended => {
+                self.module_outcome(id, peer, Outcome::Reset, Reason::None, true);
+                self.attempt_ended(id);
+                self.conclude(id, CallerWord::Failed { busy: false }, effects);
+            }
             _ => self.attempt_over(id, outcome, reason),
         }
     }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -531,3 +531,16 @@
     desk.pass(2_000);
     assert_eq!((desk.ways.len(), desk.told(1).len()), (dialled, 1));
 }
+
+/// Guards against a second set-up of a call that stood without its answer having come: its caller was never told that
+/// the first one was over.
+#[test]
+fn a_call_whose_answer_was_lost_fails_when_its_normal_end_comes() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 1, 3_000);
+    desk.pass(600);
+    desk.end(1, 1, Outcome::Ended, Reason::None);
+    desk.pass(1_000);
+    assert_eq!(desk.told(1), [CallerWord::Failed { busy: false }]);
+    assert_eq!(desk.sent(1).len(), 1, "neither set up again nor called off: {:?}", desk.sent(1));
+}
