--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -60,6 +60,9 @@
 const UNHEARD: Duration = Duration::from_secs(1);
 /// After the order to stop, set-ups arrive for 0.4 s on new connections and 0.2 s more on open ones.
 const DRAIN: Duration = Duration::from_millis(700);
+/// Calls that stand may go on for this long after it, unless the platform ends the process before: they are cut with
+/// it, and most of them end by then.
+const STAY: Duration = Duration::from_secs(10);
 /// A call that is over is remembered for this long, so that what an exchange still says of it is told from
 /// news of a call that stood before this softswitch last started.
 const REMEMBER: Duration = Duration::from_secs(30);
@@ -385,6 +388,7 @@
             Input::Drain => {
                 self.draining_since.get_or_insert(self.now);
                 self.set_timer(DRAIN, Timer::Drained);
+                self.set_timer(STAY, Timer::Drained);
             }
         }
     }
@@ -555,8 +559,9 @@
             effects.push(Effect::Exit);
         }
         let Some(start) = self.draining_since else { return };
-        let waiting = self.calls.values().any(|c| !matches!(c.phase, Phase::Standing { .. }));
-        if !waiting && since(start, self.now) >= DRAIN {
+        let gone_on = since(start, self.now) >= STAY;
+        let stays = |call: &Call| !gone_on || !matches!(call.phase, Phase::Standing { .. });
+        if !self.calls.values().any(stays) && since(start, self.now) >= DRAIN {
             effects.push(Effect::Exit);
         }
     }
@@ -899,6 +904,7 @@
                 self.release_far(id, at, cause, effects);
                 self.module_outcome(id, at, Outcome::Cancelled, Reason::None, true);
                 self.forget(id, effects);
+                self.try_exit(effects);
             }
             _ => self.leave(id, effects),
         }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -429,7 +429,7 @@
 }
 
 #[test]
-fn a_drain_goes_on_serving_and_ends_when_all_is_answered() {
+fn after_the_order_to_stop_it_serves_on_and_ends_with_the_last_call() {
     let mut desk = Desk::new(3);
     desk.call(1, 2, 2_000);
     desk.put(Input::Drain);
@@ -440,6 +440,23 @@
     desk.answer(1, 2);
     assert!(!desk.seen.contains(&Effect::Exit));
     desk.answer(2, 1);
+    desk.end(1, 2, Outcome::Ended, Reason::None);
+    // A call that stands would be cut with the process.
+    desk.pass(1_000);
+    assert!(!desk.seen.contains(&Effect::Exit));
+    desk.put(Input::HangUp { link: LINK, call: name(2), cause: 16 });
+    assert!(desk.seen.contains(&Effect::Exit));
+}
+
+#[test]
+fn a_call_that_stands_for_long_does_not_keep_a_process_that_was_told_to_stop() {
+    let mut desk = Desk::new(3);
+    desk.call(1, 1, 3_000);
+    desk.answer(1, 1);
+    desk.put(Input::Drain);
+    desk.pass(9_900);
+    assert!(!desk.seen.contains(&Effect::Exit));
+    desk.pass(200);
     assert!(desk.seen.contains(&Effect::Exit));
 }
 
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -156,7 +156,7 @@
     old.put(Input::Drain);
     old.pass(800);
     assert!(!old.seen.contains(&Effect::Exit), "a call is open");
-    old.answer(5, 1);
+    old.end(5, 1, Outcome::Busy, Reason::LinesBusy);
     assert!(old.seen.contains(&Effect::Exit), "without a successor, as ever");
 }
 
