--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -43,8 +43,9 @@
 /// A release whose own way is gone waits this long for a way on which calls have come: a connection that has
 /// said nothing yet may never read it.
 const BETTER_WAY: Duration = Duration::from_millis(250);
-/// A connection from callers must bring its first line within this time. Callers are owed a word within 3 s.
-const FIRST_LINE: Duration = Duration::from_secs(2);
+/// A connection from callers must bring its first line within this time: good callers may write it over 2 s, and bad
+/// ones are owed a word within 3 s.
+const FIRST_LINE: Duration = Duration::from_millis(2_500);
 /// A connection from callers with no call on it is closed after this time; callers themselves close it
 /// after 4 s, so whoever is still there holds it for good.
 const IDLE: Duration = Duration::from_secs(5);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -30,7 +30,7 @@
 const LISTENER: Token = Token(1);
 /// A line from a caller must end within this time of its first byte, and one from an exchange: callers may be
 /// on poor links, exchanges are not, and what waits for an answer there has no time to lose.
-const CALLER_LINE: Duration = Duration::from_secs(2);
+const CALLER_LINE: Duration = Duration::from_millis(2_500);
 const EXCHANGE_LINE: Duration = Duration::from_secs(1);
 /// Connections that are accepted before others have their turn.
 const ACCEPTS: usize = 16;
@@ -451,6 +451,12 @@
         self.inputs.extend(out.inputs);
     }
 
+    /// The IAX2 side can be had at last.
+    pub(super) fn begin_handsets(&mut self, handsets: Handsets) {
+        self.handsets = Some(handsets);
+        self.inputs.push_back(Input::LinkUp { link: HANDSETS, front: Front::Handsets });
+    }
+
     /// Whether a way to an exchange goes over IAX2.
     fn speaks_iax2(&self, number: Number) -> bool {
         self.handsets.as_ref().is_some_and(|h| h.iax2.speaks(number))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -38,6 +38,8 @@
 const MOVES: usize = 16;
 /// Events that are taken from the system at once.
 const EVENTS: usize = 256;
+/// Time between two tries to have the address of IAX2, where another process still has it.
+const BIND_AGAIN: Duration = Duration::from_millis(100);
 /// How long the last answers may take to be written at the end.
 const LAST_WRITES: Duration = Duration::from_millis(50);
 
@@ -96,7 +98,8 @@
     config: Config,
     listener: TcpListener,
     door: Option<TcpListener>,
-    handsets: Option<(Iax2Config, Arc<UdpSocket>)>,
+    /// The front for IAX2, and its socket; none where another process still has the address.
+    handsets: Option<(Iax2Config, Option<UdpSocket>)>,
     poll: Poll,
     messages: Receiver<Message>,
     inbox: Inbox,
@@ -117,7 +120,7 @@
     /// If one cannot be had.
     pub fn bind(config: Config, iax2: Option<Iax2Config>) -> Result<Self, ServeError> {
         let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
-        Self::on(listener, config, iax2)
+        Self::on(listener, false, config, iax2)
     }
 
     /// Takes a listening socket that was inherited, and the place of the process that serves on it now, if one
@@ -144,17 +147,25 @@
         let now =
             SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
         let seed = config.seed.rotate_left(17) ^ now ^ (u64::from(std::process::id()) << 32);
-        let server = Self::on(listener, Config { seed, ..config }, iax2)?;
+        let server = Self::on(listener, true, Config { seed, ..config }, iax2)?;
         Ok(Self { succession: Some(Succession { place, handed }), ..server })
     }
 
-    fn on(listener: TcpListener, config: Config, iax2: Option<Iax2Config>) -> Result<Self, ServeError> {
+    fn on(
+        listener: TcpListener,
+        inherited: bool,
+        config: Config,
+        iax2: Option<Iax2Config>,
+    ) -> Result<Self, ServeError> {
         listener.set_nonblocking(true).map_err(system("listen"))?;
         let door = config.operator.map(Door::bind).transpose().map_err(system("listen for operators"))?;
         let handsets = match iax2 {
             Some(iax2) => {
-                let socket = UdpSocket::bind(iax2.listen).map_err(system("listen for IAX2"))?;
-                Some((iax2, Arc::new(socket)))
+                let socket = match UdpSocket::bind(iax2.listen) {
+                    Err(error) if inherited && error.kind() == ErrorKind::AddrInUse => None,
+                    socket => Some(socket.map_err(system("listen for IAX2"))?),
+                };
+                Some((iax2, socket))
             }
             None => None,
         };
@@ -188,7 +199,7 @@
 
     /// Where IAX2 callers reach it; `None` where that front is off.
     pub fn handset_address(&self) -> Option<SocketAddr> {
-        self.handsets.as_ref().and_then(|(_, socket)| socket.local_addr().ok())
+        self.handsets.as_ref().and_then(|(_, socket)| socket.as_ref()?.local_addr().ok())
     }
 
     /// A way to hand inputs in from outside, such as the order to stop.
@@ -205,9 +216,6 @@
         if let Ok(address) = listener.local_addr() {
             eprintln!("swiftlb: {} serves on {address}", config.name);
         }
-        if let Some(address) = handsets.as_ref().and_then(|(_, socket)| socket.local_addr().ok()) {
-            eprintln!("swiftlb: IAX2 on {address}");
-        }
         let (place, handed) = succession.map_or((None, None), |s| (Some(s.place), s.handed));
         let (handed, inheritance) = handed.unzip();
         if let Some(inheritance) = &inheritance {
@@ -219,17 +227,15 @@
         }
         let source = follow_resolver(&config, &inbox)?;
         let mut inputs = VecDeque::new();
-        let handsets = match handsets {
-            Some((iax2, socket)) => {
-                let (reader, to_loop) = (socket.clone(), inbox.clone());
-                small_thread("iax2", move || read_datagrams(&reader, &to_loop))
-                    .map_err(system("IAX2 thread"))?;
-                inputs.push_back(Input::LinkUp { link: HANDSETS, front: Front::Handsets });
-                let endpoint = Endpoint::new(iax2.clone(), HANDSETS, config.seed);
-                Some(Handsets { iax2, endpoint, socket })
-            }
-            None => None,
+        // Another process still has the address of IAX2: it is tried for until that one is gone.
+        let (handsets, mut awaited) = match handsets {
+            Some((iax2, Some(socket))) => (Some(open_handsets(iax2, socket, config.seed, &inbox)?), None),
+            Some((iax2, None)) => (None, Some((iax2, SystemTime::now()))),
+            None => (None, None),
         };
+        if handsets.is_some() {
+            inputs.push_back(Input::LinkUp { link: HANDSETS, front: Front::Handsets });
+        }
         let mut effects = Vec::new();
         let now = SystemTime::now();
         let mut engine = match inheritance {
@@ -265,7 +271,14 @@
                 driver.finish(LAST_WRITES);
                 return Ok(());
             }
-            let wake = wake.into_iter().chain(driver.next_wake()).min();
+            if let Some((iax2, at)) = awaited.take_if(|(_, at)| *at <= SystemTime::now()) {
+                match UdpSocket::bind(iax2.listen) {
+                    Ok(socket) => driver.begin_handsets(open_handsets(iax2, socket, config.seed, &inbox)?),
+                    Err(_) => awaited = Some((iax2, at + BIND_AGAIN)),
+                }
+            }
+            let again = awaited.as_ref().map(|(_, at)| *at);
+            let wake = wake.into_iter().chain(driver.next_wake()).chain(again).min();
             let wait = wake.map(|at| at.duration_since(SystemTime::now()).unwrap_or_default());
             match poll.poll(&mut events, wait) {
                 Err(error) if error.kind() != ErrorKind::Interrupted => {
@@ -296,6 +309,23 @@
     }
 }
 
+/// The IAX2 side on its socket, read by a thread of its own.
+fn open_handsets(
+    iax2: Iax2Config,
+    socket: UdpSocket,
+    seed: u64,
+    inbox: &Inbox,
+) -> Result<Handsets, ServeError> {
+    if let Ok(address) = socket.local_addr() {
+        eprintln!("swiftlb: IAX2 on {address}");
+    }
+    let socket = Arc::new(socket);
+    let (reader, to_loop) = (socket.clone(), inbox.clone());
+    small_thread("iax2", move || read_datagrams(&reader, &to_loop)).map_err(system("IAX2 thread"))?;
+    let endpoint = Endpoint::new(iax2.clone(), HANDSETS, seed);
+    Ok(Handsets { iax2, endpoint, socket })
+}
+
 /// Starts the thread that follows the list of exchanges, and says how to tell it that the resolver has moved.
 fn follow_resolver(config: &Config, inbox: &Inbox) -> Result<Sender<Source>, ServeError> {
     let source = Source { resolver: config.names, zones: config.zones.clone() };
