--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -5,10 +5,11 @@
 #[path = "common/peers.rs"]
 mod peers;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
-use peers::{Exchange, Lines, Phone, Switch, hear, launch};
+use peers::{Exchange, Lines, Phone, Switch, hear, launch, timed};
 use proptest::prelude::*;
 use swiftlb::iax2::frame::{Kind, iax};
 use swiftlb::ops::{self, CallError, LONGEST_HEAD, Order};
@@ -51,7 +52,7 @@
 #[test]
 fn those_who_hold_the_door_open_and_say_nothing_make_room() {
     let (switch, _exchange) = one_exchange();
-    let held: Vec<TcpStream> = (0..40)
+    let mut held: Vec<TcpStream> = (0..40)
         .map(|n| {
             let mut stream = TcpStream::connect(switch.door).expect("it listens");
             // One that was put out already may be found closed.
@@ -60,7 +61,9 @@
         })
         .collect();
     assert_eq!(switch.ask("GET /ops/stats").0, 200);
-    drop(held);
+    // The oldest is gone long before it would be for its silence.
+    let (end, waited) = timed(|| held[0].read(&mut [0]));
+    assert!(!matches!(end, Ok(1..)) && waited < Duration::from_secs(4), "{end:?} after {waited:?}");
 }
 
 #[test]
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -84,6 +84,20 @@
     new
 }
 
+#[test]
+fn a_new_process_knows_what_the_old_one_has_learned_and_its_list() {
+    let mut old = Desk::new(3);
+    old.put(Input::List([0, 1].map(|place| desk::entry(place, Readiness::Ready)).to_vec()));
+    old.put(Input::Listed { serial: 7 });
+    old.put(Input::GroupState { conn: old.way(1), report: vec![0.0, 30.0] });
+    let mut new = successor(&mut old);
+    assert_eq!(new.ways.len(), 1, "the list of the start has two others");
+    new.put(Input::Connected { conn: new.way(1), bound: false });
+    new.put(Input::LinkUp { link: LINK, front: Front::Platform });
+    new.call(1, 1, 3_000);
+    assert!(matches!(new.told(1)[..], [CallerWord::Refused { .. }]), "the group is full: {:?}", new.told(1));
+}
+
 #[test]
 fn the_old_process_leaves_once_nothing_is_open_or_stands() {
     let mut old = Desk::new(3);
