--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -261,6 +261,47 @@
     }
 }
 
+/// Connections that their callers closed a moment ago: whether all was read shows a little later. No more than
+/// this many are kept for that, since they hold descriptors that no limit counts.
+pub const MOST_ECHOES: usize = 32;
+
+/// Closed connections, oldest first, each with its id and until when it is kept.
+#[derive(Debug, Default)]
+pub struct Echoes(VecDeque<(SystemTime, u64, Connection)>);
+
+impl Echoes {
+    /// Keeps one more; the oldest makes room, and is given back if it went unread.
+    pub fn keep(&mut self, until: SystemTime, id: u64, connection: Connection) -> Option<u64> {
+        let full = self.0.len() >= MOST_ECHOES;
+        let made_room = if full { self.pop() } else { None };
+        self.0.push_back((until, id, connection));
+        made_room
+    }
+
+    /// Ids of those that were kept long enough and went unread.
+    pub fn unread(&mut self, now: SystemTime) -> Vec<u64> {
+        let mut unread = Vec::new();
+        while self.0.front().is_some_and(|(until, ..)| *until <= now) {
+            unread.extend(self.pop());
+        }
+        unread
+    }
+
+    fn pop(&mut self) -> Option<u64> {
+        self.0.pop_front().filter(|(.., connection)| connection.is_unread()).map(|(_, id, _)| id)
+    }
+
+    /// How many are kept.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 /// Starts a thread on a small stack.
 ///
 /// # Errors
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -12,7 +12,7 @@
 use mio::{Interest, Registry, Token};
 
 use super::Message;
-use super::connection::{Connection, Ending, Late, Received};
+use super::connection::{Connection, Echoes, Ending, Late, Received};
 use super::dns::Source;
 use super::door::{Door, Ticket};
 use super::handover::Handover;
@@ -87,8 +87,7 @@
     conns: HashMap<ConnId, Connection>,
     /// Connections that are closed once their last words are written, and until when they have for that.
     closing: Vec<(SystemTime, Connection)>,
-    /// Connections that their callers closed a moment ago: whether all was read shows a little later.
-    echoes: VecDeque<(SystemTime, LinkId, Connection)>,
+    echoes: Echoes,
     /// Those with messages to be written, and those with more to be read.
     unsent: Vec<Token>,
     ready: Vec<Token>,
@@ -126,7 +125,7 @@
             links: HashMap::new(),
             conns: HashMap::new(),
             closing: Vec::new(),
-            echoes: VecDeque::new(),
+            echoes: Echoes::default(),
             unsent: Vec::new(),
             ready: Vec::new(),
             sweep_at: SystemTime::now(),
@@ -343,7 +342,8 @@
                     self.inputs.push_back(Input::Unheard { link });
                     self.links.remove(&link);
                 } else if let Some(connection) = self.links.remove(&link) {
-                    self.echoes.push_back((SystemTime::now() + ECHO, link, connection));
+                    let unheard = self.echoes.keep(SystemTime::now() + ECHO, link, connection);
+                    self.inputs.extend(unheard.map(|link| Input::Unheard { link }));
                 }
             }
         }
@@ -428,15 +428,8 @@
             }
             keep
         });
-        while let Some((at, ..)) = self.echoes.front()
-            && *at <= now
-        {
-            if let Some((_, link, connection)) = self.echoes.pop_front()
-                && connection.is_unread()
-            {
-                self.inputs.push_back(Input::Unheard { link });
-            }
-        }
+        let unheard = self.echoes.unread(now);
+        self.inputs.extend(unheard.into_iter().map(|link| Input::Unheard { link }));
     }
 
     /// Works on the IAX2 side, sends its datagrams and queues what it has for the reducer.
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -10,6 +10,7 @@
 use peers::{Exchange, Lines, Phone, Switch, launch, timed};
 use swiftlb::iax2::element::Elements;
 use swiftlb::iax2::frame::{Full, Kind, Mini, control, iax};
+use swiftlb::net::connection::{Connection, Echoes, MOST_ECHOES};
 
 const CALL: &str = "9b1f03aa5c7e2d41";
 /// The release pause that the configuration asks for.
@@ -516,3 +517,23 @@
     assert_eq!(caller.expect("stop", CALL).cause(), 16.0);
     caller.quiet();
 }
+
+/// Guards against descriptors that no limit counts, when callers leave by the hundreds.
+#[test]
+fn few_closed_connections_are_kept_to_see_whether_all_was_read() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let now = std::time::SystemTime::now();
+    let mut echoes = Echoes::default();
+    for id in 0..100 {
+        let _caller = std::net::TcpStream::connect(address).expect("it listens");
+        let stream = listener.accept().expect("a connection").0;
+        stream.set_nonblocking(true).expect("it can be");
+        let connection = Connection::accepted(mio::net::TcpStream::from_std(stream), PAUSE);
+        assert_eq!(echoes.keep(now + PAUSE, id, connection), None, "all was read");
+        assert!(echoes.len() <= MOST_ECHOES);
+    }
+    assert!(echoes.unread(now).is_empty());
+    echoes.unread(now + PAUSE);
+    assert!(echoes.is_empty());
+}
