--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -415,6 +415,9 @@
             }
             Order::DrainStop => {
                 self.emptying = None;
+                // Callers come back in a moment: what waits for them is not told to whoever is there by chance.
+                let now = self.now;
+                self.held.iter_mut().for_each(|held| (held.since, held.until) = (now, now + KEEP_RELEASE));
                 Reply::Done
             }
         }
@@ -739,6 +742,8 @@
     fn release_caller(&mut self, first: LinkId, held: Held, effects: &mut Vec<Effect>) {
         let waited = since(held.since, self.now) >= BETTER_WAY;
         let of_front = self.links.iter().filter(|(_, link)| link.front == held.front && !link.tester);
+        // While callers are sent away, who comes and says nothing is none of those that calls stand for.
+        let waited = waited && self.emptying.is_none();
         let silent = |link: &Link| waited && since(link.heard, self.now) >= BETTER_WAY;
         let good = of_front.filter(|(_, link)| link.spoke || link.front == Front::Handsets || silent(link));
         let good = good.max_by_key(|(_, link)| (link.served, link.spoke, link.heard));
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -121,8 +121,12 @@
     desk.seen.clear();
     desk.put(Input::LinkUp { link: 8, front: Front::Platform });
     desk.put(Input::Check { link: 8, call: name(99) });
+    desk.put(Input::LinkUp { link: 10, front: Front::Platform });
     desk.pass(1_000);
-    assert_eq!(desk.told(1), [], "whoever only tests does not read it");
+    assert_eq!(desk.told(1), [], "whoever only tests or says nothing does not read it");
+    order(&mut desk, Order::DrainStop);
+    desk.pass(200);
+    assert_eq!(desk.told(1), [], "callers are on their way back");
     desk.put(Input::LinkUp { link: 9, front: Front::Platform });
     let setup = desk.setup(1, 3_000);
     desk.put(Input::SetUp { link: 9, call: name(2), setup });
