Move stopping and draining out of the reducer's main file into their own module

The code is moved without a change of behaviour; the arms of the request to stop and of the operator's requests became functions.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod exchanges;
 mod messages;
 mod recording;
+mod shutdown;
 mod sibling;
 mod status;
 
@@ -39,7 +40,7 @@
 };
 use recording::{AttemptResult, RecordBuffer};
 use sibling::Role;
-use swiftlb_record::{DrainSource, Event as RecordEvent, FailureReason, RefusalReason, ReleasedBy};
+use swiftlb_record::{Event as RecordEvent, FailureReason, RefusalReason, ReleasedBy};
 
 /// Time after a caller's deadline at which the engine fails the call if the decision module has not decided on its
 /// final outcome. Callers on sockets must get it within 50 ms of the deadline.
@@ -76,31 +77,11 @@
 const MAX_OPEN_DESCRIPTION_BYTES: usize = 4 << 20;
 /// How long after it was sent a release may be reported as unread.
 const UNREAD_REPORT_WINDOW: Duration = Duration::from_secs(1);
-/// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
-/// connections, and for another 0.2 s on open ones.
-const MIN_STOP_TIME: Duration = Duration::from_millis(700);
-/// Longest time for which established calls delay the end of the process after a request to stop. Most of them end
-/// by then; the rest are cut with the process, as they are if the platform ends it earlier.
-const MAX_STOP_TIME: Duration = Duration::from_secs(10);
 /// How long the id of an ended call is kept. It distinguishes late messages about that call from messages about a
 /// call that was established before this process started.
 const ENDED_CALL_RETENTION: Duration = Duration::from_secs(30);
 /// Time after its start from which a process may be ready although connections to exchanges are still being opened.
 const MAX_CONNECT_WAIT: Duration = Duration::from_secs(1);
-/// Time after the start of an operator's drain from which caller connections are closed: the platform opens new ones
-/// until a health check has failed. A connection that has carried no message is left open for this long after it
-/// opened.
-const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(300);
-/// Interval between two checks for connections that can be closed.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time after the start of an operator's drain until which one connection is kept open for the releases of established
-/// calls: releases are due within 1 s, and it may be long before callers connect again. Then that connection is closed
-/// too: 4 s after the start there must be no idle connection, and none with a set-up that arrived in the last 2 s.
-const DRAIN_KEEP_TIME: Duration = Duration::from_millis(3_700);
-/// A connection with open set-ups that carried a message this long after the start of an operator's drain, or later, is
-/// closed once `DRAIN_KEEP_TIME` is over, and its set-ups fail. A set-up that arrives 2 s after the start or later must
-/// not be open 4 s after it; this limit is 0.1 s earlier.
-const DRAIN_LATE_MESSAGE_TIME: Duration = Duration::from_millis(1_900);
 /// Time after its start from which a process may be ready although the resolver has not confirmed the list of
 /// exchanges.
 const MAX_LIST_WAIT: Duration = Duration::from_secs(3);
@@ -475,12 +456,7 @@
             }
             Input::Reload(config) => self.reload(config, effects),
             Input::Stop if self.successor_serves() => self.stop_for_successor(effects),
-            Input::Stop => {
-                self.record(|_| RecordEvent::Stopping);
-                self.stopping_since.get_or_insert(self.now);
-                self.set_timer(MIN_STOP_TIME, Timer::CheckStopped);
-                self.set_timer(MAX_STOP_TIME, Timer::CheckStopped);
-            }
+            Input::Stop => self.stop(),
         }
     }
 
@@ -500,23 +476,11 @@
             }
             OperatorRequest::Fleet => OperatorReply::Fleet(self.fleet().to_json()),
             OperatorRequest::BeginDrain => {
-                if self.operator_drain_since.is_none() {
-                    self.record_drain(true, DrainSource::Operator);
-                    self.operator_drain_since = Some(self.now);
-                    self.set_timer(DRAIN_CLOSE_DELAY, Timer::DrainCallers(self.now));
-                }
+                self.begin_drain();
                 OperatorReply::Done
             }
             OperatorRequest::EndDrain => {
-                if self.operator_drain_since.take().is_some() {
-                    self.record_drain(false, DrainSource::Operator);
-                }
-                // Callers connect again soon. Restarting the wait keeps pending releases from being sent on a
-                // connection that happens to be open now and may not be read.
-                let now = self.now;
-                self.caller_releases.iter_mut().for_each(|release| {
-                    (release.queued_at, release.expires_at) = (now, now + RELEASE_EXPIRY)
-                });
+                self.end_drain();
                 OperatorReply::Done
             }
         }
@@ -613,109 +577,6 @@
         }
     }
 
-    /// Closes the caller connections without an open set-up during an operator's drain. Once `DRAIN_KEEP_TIME` is
-    /// over, also closes those with open set-ups that carried a message `DRAIN_LATE_MESSAGE_TIME` or more after the
-    /// start of the drain, and fails their set-ups.
-    fn drain_caller_conns(&mut self, drain_start: SystemTime, effects: &mut Vec<Effect>) {
-        if self.operator_drain_since != Some(drain_start) {
-            return;
-        }
-        self.set_timer(DRAIN_CHECK_INTERVAL, Timer::DrainCallers(drain_start));
-        let keep_time_over = elapsed(drain_start, self.now) >= DRAIN_KEEP_TIME;
-        let must_abort = |conn: &CallerConn| {
-            keep_time_over && elapsed(drain_start, conn.last_received) >= DRAIN_LATE_MESSAGE_TIME
-        };
-        let conns: Vec<(CallerConnId, bool)> =
-            self.caller_conns.iter().map(|(id, conn)| (*id, must_abort(conn))).collect();
-        let with_open_setups = self.conns_with_open_setups();
-        let kept = if keep_time_over { None } else { self.conn_kept_for_releases() };
-        for (caller_conn, must_abort) in conns {
-            if !with_open_setups.contains(&caller_conn) && kept != Some(caller_conn) {
-                self.close_draining_conn(caller_conn, effects);
-            } else if must_abort {
-                self.abort_caller_conn(caller_conn, effects);
-            }
-        }
-    }
-
-    /// The connection that an operator's drain closes last, because the releases of established calls are sent on it.
-    fn conn_kept_for_releases(&self) -> Option<CallerConnId> {
-        let established =
-            |call: &Call| call.front == Front::JsonLines && matches!(call.phase, Phase::Established { .. });
-        let any = self.calls.values().any(established);
-        let candidates = self
-            .caller_conns
-            .iter()
-            .filter(|(_, conn)| any && conn.front == Front::JsonLines && conn.sent_call_message);
-        candidates.max_by_key(|(id, conn)| (conn.served_call, std::cmp::Reverse(**id))).map(|(id, _)| *id)
-    }
-
-    /// Closes a caller connection without an open set-up, if an operator's drain requires it, or a request to stop
-    /// while a successor serves.
-    fn close_draining_conn(&self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
-        let Some(conn) = self.caller_conns.get(&caller_conn).filter(|conn| conn.front == Front::JsonLines)
-        else {
-            return;
-        };
-        let closing = self.stopping_for_successor
-            || self.operator_drain_since.is_some_and(|start| elapsed(start, self.now) >= DRAIN_CLOSE_DELAY);
-        // On a connection that opened less than `DRAIN_CLOSE_DELAY` ago, the first message may still be to come.
-        if closing
-            && (conn.sent_call_message
-                || conn.health_checks_only
-                || elapsed(conn.last_received, self.now) >= DRAIN_CLOSE_DELAY)
-        {
-            effects.push(Effect::CloseCallerConnIfIdle { caller_conn });
-        }
-    }
-
-    /// The caller connections with open set-ups.
-    fn conns_with_open_setups(&self) -> HashSet<CallerConnId> {
-        let open = self.calls.values().filter(|call| !matches!(call.phase, Phase::Established { .. }));
-        open.map(|call| call.caller_conn).collect()
-    }
-
-    /// Closes the connection of a set-up that just got its final outcome, if no other set-up is open on it and an
-    /// operator's drain requires it, or a request to stop while a successor serves.
-    fn close_conn_after_outcome(&self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
-        let kept = match self.operator_drain_since {
-            Some(start) => {
-                elapsed(start, self.now) < DRAIN_KEEP_TIME
-                    && self.conn_kept_for_releases() == Some(caller_conn)
-            }
-            None if self.stopping_for_successor => false,
-            None => return,
-        };
-        if !kept && !self.conns_with_open_setups().contains(&caller_conn) {
-            self.close_draining_conn(caller_conn, effects);
-        }
-    }
-
-    /// Ends the process if it was asked to stop and is done. While a successor serves: once no call, no queued release
-    /// and no JSON-lines caller connection is left. Otherwise: once `MIN_STOP_TIME` is over and no call is left; after
-    /// `MAX_STOP_TIME`, only calls that are not established delay the exit.
-    fn exit_if_done(&mut self, effects: &mut Vec<Effect>) {
-        let has_callers = || self.caller_conns.values().any(|conn| conn.front == Front::JsonLines);
-        if self.stopping_for_successor
-            && self.calls.is_empty()
-            && self.caller_releases.is_empty()
-            && !has_callers()
-        {
-            self.exit(effects);
-        }
-        let Some(start) = self.stopping_since else { return };
-        let time_is_up = elapsed(start, self.now) >= MAX_STOP_TIME;
-        let delays_exit = |call: &Call| !time_is_up || !matches!(call.phase, Phase::Established { .. });
-        if !self.calls.values().any(delays_exit) && elapsed(start, self.now) >= MIN_STOP_TIME {
-            self.exit(effects);
-        }
-    }
-
-    fn exit(&mut self, effects: &mut Vec<Effect>) {
-        self.record_stopped();
-        effects.push(Effect::Exit);
-    }
-
     // ---- decision module ----
 
     /// Passes the queued events to the decision module and applies its actions.
--- /dev/null
+++ b/src/engine/shutdown.rs
@@ -0,0 +1,194 @@
+//! Shutdown and draining: which caller connections are closed, and when the process exits, after a request to stop,
+//! after one while a successor serves, and during an operator's drain.
+
+use std::collections::HashSet;
+use std::time::{Duration, SystemTime};
+
+use swiftlb_record::{DrainSource, Event as RecordEvent};
+
+use super::{Call, CallerConn, CallerConnId, Effect, Engine, Front, Phase, RELEASE_EXPIRY, Timer, elapsed};
+
+/// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
+/// connections, and for another 0.2 s on open ones.
+const MIN_STOP_TIME: Duration = Duration::from_millis(700);
+/// Longest time for which established calls delay the end of the process after a request to stop. Most of them end
+/// by then; the rest are cut with the process, as they are if the platform ends it earlier.
+const MAX_STOP_TIME: Duration = Duration::from_secs(10);
+/// Time after the start of an operator's drain from which caller connections are closed: the platform opens new ones
+/// until a health check has failed. A connection that has carried no message is left open for this long after it
+/// opened.
+const DRAIN_CLOSE_DELAY: Duration = Duration::from_millis(300);
+/// Interval between two checks for connections that can be closed.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after the start of an operator's drain until which one connection is kept open for the releases of established
+/// calls: releases are due within 1 s, and it may be long before callers connect again. Then that connection is closed
+/// too: 4 s after the start there must be no idle connection, and none with a set-up that arrived in the last 2 s.
+const DRAIN_KEEP_TIME: Duration = Duration::from_millis(3_700);
+/// A connection with open set-ups that carried a message this long after the start of an operator's drain, or later, is
+/// closed once `DRAIN_KEEP_TIME` is over, and its set-ups fail. A set-up that arrives 2 s after the start or later must
+/// not be open 4 s after it; this limit is 0.1 s earlier.
+const DRAIN_LATE_MESSAGE_TIME: Duration = Duration::from_millis(1_900);
+
+impl Engine {
+    /// Handles a request to stop while no successor serves.
+    pub(super) fn stop(&mut self) {
+        self.record(|_| RecordEvent::Stopping);
+        self.stopping_since.get_or_insert(self.now);
+        self.set_timer(MIN_STOP_TIME, Timer::CheckStopped);
+        self.set_timer(MAX_STOP_TIME, Timer::CheckStopped);
+    }
+
+    /// Begins an operator's drain, unless one is in progress.
+    pub(super) fn begin_drain(&mut self) {
+        if self.operator_drain_since.is_none() {
+            self.record_drain(true, DrainSource::Operator);
+            self.operator_drain_since = Some(self.now);
+            self.set_timer(DRAIN_CLOSE_DELAY, Timer::DrainCallers(self.now));
+        }
+    }
+
+    /// Ends the operator's drain, if one is in progress.
+    pub(super) fn end_drain(&mut self) {
+        if self.operator_drain_since.take().is_some() {
+            self.record_drain(false, DrainSource::Operator);
+        }
+        // Callers connect again soon. Restarting the wait keeps pending releases from being sent on a connection that
+        // happens to be open now and may not be read.
+        let now = self.now;
+        self.caller_releases
+            .iter_mut()
+            .for_each(|release| (release.queued_at, release.expires_at) = (now, now + RELEASE_EXPIRY));
+    }
+
+    /// Stops while a successor serves: caller connections are closed as soon as no set-up is open on them, and the
+    /// process exits once no call is left.
+    pub(super) fn stop_for_successor(&mut self, effects: &mut Vec<Effect>) {
+        if !std::mem::replace(&mut self.stopping_for_successor, true) {
+            self.stopping_since = None;
+            self.set_timer(Duration::ZERO, Timer::StopForSuccessor);
+        }
+        self.exit_if_done(effects);
+    }
+
+    /// Closes the caller connections without an open set-up, and exits if nothing is left.
+    pub(super) fn continue_stop_for_successor(&mut self, effects: &mut Vec<Effect>) {
+        if !self.stopping_for_successor {
+            return;
+        }
+        self.set_timer(DRAIN_CHECK_INTERVAL, Timer::StopForSuccessor);
+        let with_open_setups = self.conns_with_open_setups();
+        let unused: Vec<_> = self
+            .caller_conns
+            .keys()
+            .filter(|caller_conn| !with_open_setups.contains(caller_conn))
+            .copied()
+            .collect();
+        for caller_conn in unused {
+            self.close_draining_conn(caller_conn, effects);
+        }
+        self.exit_if_done(effects);
+    }
+
+    /// Closes the caller connections without an open set-up during an operator's drain. Once `DRAIN_KEEP_TIME` is
+    /// over, also closes those with open set-ups that carried a message `DRAIN_LATE_MESSAGE_TIME` or more after the
+    /// start of the drain, and fails their set-ups.
+    pub(super) fn drain_caller_conns(&mut self, drain_start: SystemTime, effects: &mut Vec<Effect>) {
+        if self.operator_drain_since != Some(drain_start) {
+            return;
+        }
+        self.set_timer(DRAIN_CHECK_INTERVAL, Timer::DrainCallers(drain_start));
+        let keep_time_over = elapsed(drain_start, self.now) >= DRAIN_KEEP_TIME;
+        let must_abort = |conn: &CallerConn| {
+            keep_time_over && elapsed(drain_start, conn.last_received) >= DRAIN_LATE_MESSAGE_TIME
+        };
+        let conns: Vec<(CallerConnId, bool)> =
+            self.caller_conns.iter().map(|(id, conn)| (*id, must_abort(conn))).collect();
+        let with_open_setups = self.conns_with_open_setups();
+        let kept = if keep_time_over { None } else { self.conn_kept_for_releases() };
+        for (caller_conn, must_abort) in conns {
+            if !with_open_setups.contains(&caller_conn) && kept != Some(caller_conn) {
+                self.close_draining_conn(caller_conn, effects);
+            } else if must_abort {
+                self.abort_caller_conn(caller_conn, effects);
+            }
+        }
+    }
+
+    /// The connection that an operator's drain closes last, because the releases of established calls are sent on it.
+    fn conn_kept_for_releases(&self) -> Option<CallerConnId> {
+        let established =
+            |call: &Call| call.front == Front::JsonLines && matches!(call.phase, Phase::Established { .. });
+        let any = self.calls.values().any(established);
+        let candidates = self
+            .caller_conns
+            .iter()
+            .filter(|(_, conn)| any && conn.front == Front::JsonLines && conn.sent_call_message);
+        candidates.max_by_key(|(id, conn)| (conn.served_call, std::cmp::Reverse(**id))).map(|(id, _)| *id)
+    }
+
+    /// Closes a caller connection without an open set-up, if an operator's drain requires it, or a request to stop
+    /// while a successor serves.
+    pub(super) fn close_draining_conn(&self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
+        let Some(conn) = self.caller_conns.get(&caller_conn).filter(|conn| conn.front == Front::JsonLines)
+        else {
+            return;
+        };
+        let closing = self.stopping_for_successor
+            || self.operator_drain_since.is_some_and(|start| elapsed(start, self.now) >= DRAIN_CLOSE_DELAY);
+        // On a connection that opened less than `DRAIN_CLOSE_DELAY` ago, the first message may still be to come.
+        if closing
+            && (conn.sent_call_message
+                || conn.health_checks_only
+                || elapsed(conn.last_received, self.now) >= DRAIN_CLOSE_DELAY)
+        {
+            effects.push(Effect::CloseCallerConnIfIdle { caller_conn });
+        }
+    }
+
+    /// The caller connections with open set-ups.
+    pub(super) fn conns_with_open_setups(&self) -> HashSet<CallerConnId> {
+        let open = self.calls.values().filter(|call| !matches!(call.phase, Phase::Established { .. }));
+        open.map(|call| call.caller_conn).collect()
+    }
+
+    /// Closes the connection of a set-up that just got its final outcome, if no other set-up is open on it and an
+    /// operator's drain requires it, or a request to stop while a successor serves.
+    pub(super) fn close_conn_after_outcome(&self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
+        let kept = match self.operator_drain_since {
+            Some(start) => {
+                elapsed(start, self.now) < DRAIN_KEEP_TIME
+                    && self.conn_kept_for_releases() == Some(caller_conn)
+            }
+            None if self.stopping_for_successor => false,
+            None => return,
+        };
+        if !kept && !self.conns_with_open_setups().contains(&caller_conn) {
+            self.close_draining_conn(caller_conn, effects);
+        }
+    }
+
+    /// Ends the process if it was asked to stop and is done. While a successor serves: once no call, no queued release
+    /// and no JSON-lines caller connection is left. Otherwise: once `MIN_STOP_TIME` is over and no call is left; after
+    /// `MAX_STOP_TIME`, only calls that are not established delay the exit.
+    pub(super) fn exit_if_done(&mut self, effects: &mut Vec<Effect>) {
+        let has_callers = || self.caller_conns.values().any(|conn| conn.front == Front::JsonLines);
+        if self.stopping_for_successor
+            && self.calls.is_empty()
+            && self.caller_releases.is_empty()
+            && !has_callers()
+        {
+            self.exit(effects);
+        }
+        let Some(start) = self.stopping_since else { return };
+        let time_is_up = elapsed(start, self.now) >= MAX_STOP_TIME;
+        let delays_exit = |call: &Call| !time_is_up || !matches!(call.phase, Phase::Established { .. });
+        if !self.calls.values().any(delays_exit) && elapsed(start, self.now) >= MIN_STOP_TIME {
+            self.exit(effects);
+        }
+    }
+
+    fn exit(&mut self, effects: &mut Vec<Effect>) {
+        self.record_stopped();
+        effects.push(Effect::Exit);
+    }
+}
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -2,14 +2,13 @@
 //! each process's share of the limits.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use swiftlb_record::ReleasedBy;
 
 use super::{
-    CallUid, CallerMessage, Config, DRAIN_CHECK_INTERVAL, Effect, Engine, Front, HandoverState,
-    LearnedValues, ListEntry, MAX_CONNECT_WAIT, MAX_LIST_WAIT, NO_CALLER_CONN, Outcome, Readiness,
-    SettingsError, SiblingMessage, SystemTime, Timer,
+    CallUid, CallerMessage, Config, Effect, Engine, Front, HandoverState, LearnedValues, ListEntry,
+    MAX_CONNECT_WAIT, MAX_LIST_WAIT, NO_CALLER_CONN, Outcome, Readiness, SettingsError, SiblingMessage,
+    SystemTime, Timer,
 };
 
 /// File descriptors of a process other than its caller and exchange connections: standard streams, poll, listeners,
@@ -160,35 +159,6 @@
         }
     }
 
-    /// Stops while a successor serves: caller connections are closed as soon as no set-up is open on them, and the
-    /// process exits once no call is left.
-    pub(super) fn stop_for_successor(&mut self, effects: &mut Vec<Effect>) {
-        if !std::mem::replace(&mut self.stopping_for_successor, true) {
-            self.stopping_since = None;
-            self.set_timer(Duration::ZERO, Timer::StopForSuccessor);
-        }
-        self.exit_if_done(effects);
-    }
-
-    /// Closes the caller connections without an open set-up, and exits if nothing is left.
-    pub(super) fn continue_stop_for_successor(&mut self, effects: &mut Vec<Effect>) {
-        if !self.stopping_for_successor {
-            return;
-        }
-        self.set_timer(DRAIN_CHECK_INTERVAL, Timer::StopForSuccessor);
-        let with_open_setups = self.conns_with_open_setups();
-        let unused: Vec<_> = self
-            .caller_conns
-            .keys()
-            .filter(|caller_conn| !with_open_setups.contains(caller_conn))
-            .copied()
-            .collect();
-        for caller_conn in unused {
-            self.close_draining_conn(caller_conn, effects);
-        }
-        self.exit_if_done(effects);
-    }
-
     /// Handles the end of the sibling process: this process alone is the softswitch again.
     pub(super) fn sibling_disconnected(&mut self, effects: &mut Vec<Effect>) {
         let Some(role) = self.sibling.take() else { return };
