Log each step of a shutdown and, at level debug, each event of a call; add three metrics

Now: the signal with its time, the request to stop, the readiness to exit and the exit, each with the open set-ups, established calls, connections and waiting releases; at level debug (or with NODE_LOG=debug) a line for every event of a call, with its id and reason; the metrics svc_refusals by reason, svc_waiting and svc_stopping.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -456,7 +456,7 @@
             }
             Input::Reload(config) => self.reload(config, effects),
             Input::Stop if self.successor_serves() => self.stop_for_successor(effects),
-            Input::Stop => self.stop(),
+            Input::Stop => self.stop(effects),
         }
     }
 
@@ -471,7 +471,13 @@
                     Some(exchange.number) != self.home && self.controller.avoids(*id)
                 };
                 let unavailable = listed().filter(|(id, exchange)| avoided(id, exchange)).count();
-                let gauges = Gauges { pending: self.calls.len(), members: listed().count(), unavailable };
+                let gauges = Gauges {
+                    pending: self.calls.len(),
+                    waiting: self.open_setups,
+                    members: listed().count(),
+                    unavailable,
+                    is_stopping: self.stopping_since.is_some() || self.stopping_for_successor,
+                };
                 OperatorReply::Metrics(self.metrics.prometheus_text(gauges))
             }
             OperatorRequest::Fleet => OperatorReply::Fleet(self.fleet().to_json()),
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -31,9 +31,10 @@
 
 impl Engine {
     /// Handles a request to stop while no successor serves.
-    pub(super) fn stop(&mut self) {
+    pub(super) fn stop(&mut self, effects: &mut Vec<Effect>) {
         self.record(|_| RecordEvent::Stopping);
         self.stopping_since.get_or_insert(self.now);
+        self.log_shutdown("request to stop", effects);
         self.set_timer(MIN_STOP_TIME, Timer::CheckStopped);
         self.set_timer(MAX_STOP_TIME, Timer::CheckStopped);
     }
@@ -65,6 +66,7 @@
     pub(super) fn stop_for_successor(&mut self, effects: &mut Vec<Effect>) {
         if !std::mem::replace(&mut self.stopping_for_successor, true) {
             self.stopping_since = None;
+            self.log_shutdown("stops while a successor serves", effects);
             self.set_timer(Duration::ZERO, Timer::StopForSuccessor);
         }
         self.exit_if_done(effects);
@@ -189,6 +191,21 @@
 
     fn exit(&mut self, effects: &mut Vec<Effect>) {
         self.record_stopped();
+        self.log_shutdown("ready to exit", effects);
         effects.push(Effect::Exit);
     }
+
+    /// Logs a step of the shutdown with everything that may still delay the exit, or be lost with it.
+    fn log_shutdown(&self, step: &str, effects: &mut Vec<Effect>) {
+        let established = self.calls.len() - self.open_setups;
+        let exchange_releases: usize =
+            self.exchanges.values().map(|exchange| exchange.pending_releases.len()).sum();
+        effects.push(Effect::Log(format!(
+            "{step}: set-ups open: {}, calls established: {established}, caller connections: {}, releases waiting \
+             for a caller: {}, for an exchange: {exchange_releases}",
+            self.open_setups,
+            self.caller_conns.len(),
+            self.caller_releases.len(),
+        )));
+    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,8 @@
 usage: swiftlb [serve] [--config FILE] [--iax2 FILE] [--edge FILE]
                        [--log LEVEL] [--log-format text|json]
            serve calls; default files: $NODE_CONFIG, deploy/iax2.json and deploy/edge.json;
-           log to standard error from this level on: off, error, warn, info, debug or trace
+           log to standard error from this level on: off, error, warn, info, debug or trace;
+           default: $NODE_LOG, otherwise info
            example: swiftlb serve --config examples/toy/config.json --log warn --log-format json
        swiftlb check-config [FILE] [--iax2 FILE] [--edge FILE]
            check whether the configuration is valid
@@ -53,7 +54,7 @@
         return load(parser);
     }
     let (mut command, mut file, mut iax2_file, mut edge_file) = (None, None, None, None);
-    let (mut format, mut min_level) = (LogFormat::default(), LevelFilter::INFO);
+    let (mut format, mut min_level) = (LogFormat::default(), None);
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => file = Some(parser.value()?.string()?),
@@ -63,7 +64,7 @@
                 format = with_option_name("--log-format", parser.value()?.string()?.parse())?
             }
             Long("log") => {
-                min_level = with_option_name("--log", log::parse_level(&parser.value()?.string()?))?
+                min_level = Some(with_option_name("--log", log::parse_level(&parser.value()?.string()?))?)
             }
             Long("help") | Short('h') => {
                 println!("{USAGE}");
@@ -80,7 +81,7 @@
     };
     match command.as_deref().unwrap_or("serve") {
         "serve" => {
-            let _log = Log::open(format, min_level);
+            let _log = Log::open(format, min_level.map_or_else(default_log_level, Ok)?);
             serve(&config_path(file)?, load_iax2(iax2_file)?, load_edge()?)
         }
         "check-config" => {
@@ -115,6 +116,14 @@
     }
 }
 
+/// The minimum level that is logged unless an option gives it: that in $NODE_LOG, otherwise info.
+fn default_log_level() -> Result<LevelFilter, String> {
+    match std::env::var("NODE_LOG").ok().filter(|level| !level.is_empty()) {
+        Some(level) => with_option_name("NODE_LOG", log::parse_level(&level)),
+        None => Ok(LevelFilter::INFO),
+    }
+}
+
 /// Adds the name of the option to an error.
 fn with_option_name<T, E: std::fmt::Display>(option: &str, value: Result<T, E>) -> Result<T, String> {
     value.map_err(|error| format!("{option}: {error}"))
@@ -219,7 +228,10 @@
                         continue;
                     }
                 },
-                _ => Input::Stop,
+                _ => {
+                    tracing::info!(signal, "signal received: request to stop");
+                    Input::Stop
+                }
             };
             if loop_sender.send(LoopMessage::Input(input)).is_err() {
                 return;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -158,6 +158,11 @@
         self.inputs.pop_front()
     }
 
+    /// Number of inputs that the reducer has not handled.
+    pub(super) fn queued_inputs(&self) -> usize {
+        self.inputs.len()
+    }
+
     /// Handles a message from another thread.
     pub(super) fn handle_message(&mut self, message: LoopMessage) {
         match message {
@@ -568,6 +573,7 @@
             }
             Effect::Log(text) => tracing::info!("{text}"),
             Effect::Record(record) => {
+                tracing::debug!(event = ?record.event);
                 if let Some((recorder, clock)) = &mut self.recorder {
                     recorder.record(Record { at_us: clock.skewed_us(record.at_us), ..record });
                 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -283,7 +283,8 @@
             None => Engine::new(&config, now, &mut effects)?,
         };
         let recorder = start_recorder(&config, &edge, now)?;
-        if recorder.is_some() {
+        // The log prints the recorded events at this level.
+        if recorder.is_some() || tracing::enabled!(tracing::Level::DEBUG) {
             engine.start_recording(is_replacement, &mut effects);
         }
         let registry = poll.registry().try_clone().map_err(io_error("poll"))?;
@@ -324,6 +325,7 @@
             let wake = run_reducer(&mut driver);
             driver.flush();
             if driver.is_done() {
+                tracing::info!(unread_inputs = driver.queued_inputs(), "exits");
                 driver.flush_and_stop(FINAL_WRITE_TIMEOUT);
                 return Ok(());
             }
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -25,10 +25,14 @@
 pub struct Gauges {
     /// Accepted calls that have not ended: open or established.
     pub pending: usize,
+    /// Open set-ups: accepted calls without a final outcome.
+    pub waiting: usize,
     /// Exchanges in the list.
     pub members: usize,
     /// Listed exchanges that receive no calls now.
     pub unavailable: usize,
+    /// Whether the process was requested to stop.
+    pub is_stopping: bool,
 }
 
 impl Metrics {
@@ -121,12 +125,23 @@
             "Set-ups written whole to exchanges.",
             &unlabelled(self.attempts),
         );
+        let refusals: Vec<(String, u64)> =
+            self.refusals().into_iter().map(|(reason, n)| (format!(r#"{{reason="{reason}"}}"#), n)).collect();
+        write_metric("refusals", "counter", "Refused calls, by reason.", &refusals);
         write_metric(
             "pending",
             "gauge",
             "Calls taken that have not ended: they wait or stand.",
             &unlabelled(gauges.pending as u64),
         );
+        write_metric(
+            "waiting",
+            "gauge",
+            "Calls taken that have no final outcome.",
+            &unlabelled(gauges.waiting as u64),
+        );
+        let stopping = unlabelled(u64::from(gauges.is_stopping));
+        write_metric("stopping", "gauge", "1 after a request to stop, otherwise 0.", &stopping);
         write_metric("members", "gauge", "Exchanges in the list.", &unlabelled(gauges.members as u64));
         let unavailable = unlabelled(gauges.unavailable as u64);
         write_metric(
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -88,9 +88,11 @@
     caller.send(&launch_line(CALL, 1, 1_500));
     exchange.expect("launch", CALL);
     assert_eq!(switch.metric("svc_pending"), "1");
+    assert_eq!(switch.metric("svc_waiting"), "1");
     exchange.send(&format!(r#"{{"kind":"running","uid":"{CALL}","meta":{{}},"body":""}}"#));
     caller.expect("running", CALL);
     assert_eq!(switch.metric("svc_pending"), "1", "an established call has not ended");
+    assert_eq!(switch.metric("svc_waiting"), "0", "it has its outcome");
     exchange.send(&format!(r#"{{"kind":"stop","uid":"{CALL}","meta":{{}},"reason":16}}"#));
     caller.expect("stop", CALL);
     // A call to an unknown destination is refused; one to a busy number fails.
@@ -109,6 +111,8 @@
         (counter("lookup", "failed"), "1"),
         ("svc_upstream_requests".to_owned(), "2"),
         ("svc_pending".to_owned(), "0"),
+        ("svc_refusals{reason=\"shed\"}".to_owned(), "1"),
+        ("svc_stopping".to_owned(), "0"),
     ] {
         assert_eq!(switch.metric(&name), value, "{name}");
     }
