--- a/tests/common/engine_harness.rs
+++ b/tests/common/engine_harness.rs
@@ -12,8 +12,21 @@
 };
 use swiftlb::interface::{NewCall, Outcome, Readiness, Reason};
 
+/// Deadlines of the classes `status` and `lookup`, in ms.
+pub const DEADLINES_MS: [u32; 2] = [3000, 2000];
+
 /// A configuration in JSON, with an exchange at each of these addresses. Exchange 0 is the home exchange.
 pub fn config_json(listen: &str, resolver: &str, exchanges: &[String]) -> String {
+    config_json_with_deadlines(listen, resolver, exchanges, DEADLINES_MS)
+}
+
+/// Like [`config_json`], with other deadlines.
+pub fn config_json_with_deadlines(
+    listen: &str,
+    resolver: &str,
+    exchanges: &[String],
+    deadlines_ms: [u32; 2],
+) -> String {
     let members: Vec<String> = exchanges
         .iter()
         .enumerate()
@@ -26,7 +39,8 @@
         .collect();
     let class = |name: &str, hard_limit_ms: u32, worth: u32| {
         format!(
-            r#"{{"name":"{name}","aimMs":1000,"hardLimitMs":{hard_limit_ms},"lateShare":0.25,"worth":{worth},"semantics":"pure"}}"#
+            r#"{{"name":"{name}","aimMs":{},"hardLimitMs":{hard_limit_ms},"lateShare":0.25,"worth":{worth},"semantics":"pure"}}"#,
+            hard_limit_ms.min(1_000)
         )
     };
     format!(
@@ -44,8 +58,8 @@
         "homeOffice":0,"releaseMs":500,"resendMs":500,"shape":"meshed"}}}}}}"#,
         members.join(","),
         exchanges.len(),
-        class("status", 3000, 1),
-        class("lookup", 2000, 5),
+        class("status", deadlines_ms[0], 1),
+        class("lookup", deadlines_ms[1], 5),
     )
 }
 
--- /dev/null
+++ b/tests/common/trial/exchange.rs
@@ -0,0 +1,317 @@
+//! A stand-in for an exchange, on a thread of its own.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use super::line_peer::{Line, LinePeer};
+use super::{CallId, ConnId, Journal, Node, Observation, TICK};
+use crate::rng::SplitMix64;
+
+/// Numbers of the connections of all exchanges and callers.
+pub static NEXT_CONN: AtomicU64 = AtomicU64::new(1);
+/// How long a release is repeated on connections that open after it was sent.
+const REPEAT_RELEASES: Duration = Duration::from_secs(12);
+
+/// Whether an exchange works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It works.
+    Serving,
+    /// Its connections stay open and say nothing, and nothing is read: it hangs, or it is cut off.
+    Silent,
+    /// Its listener is closed and its connections are reset.
+    Down,
+}
+
+/// How an exchange treats set-ups.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// Time from a set-up to its end, in ms.
+    pub setup_ms: Range<u64>,
+    /// Time for which a call stands, in ms.
+    pub hold_ms: Range<u64>,
+    /// Share of the set-ups that find the number busy, in percent.
+    pub busy_percent: u64,
+    /// Share of the answers that are followed by a second one some ms later, in percent.
+    pub doubled_percent: u64,
+    /// Share of the answers that are cut short, after which the connection is closed, in percent.
+    pub spoilt_percent: u64,
+    pub mode: Mode,
+}
+
+impl Behaviour {
+    /// Answers after this time, in ms; a call stands for `hold_ms`.
+    pub fn answering(setup_ms: Range<u64>, hold_ms: Range<u64>) -> Self {
+        Self {
+            setup_ms,
+            hold_ms,
+            busy_percent: 0,
+            doubled_percent: 0,
+            spoilt_percent: 0,
+            mode: Mode::Serving,
+        }
+    }
+}
+
+enum Step {
+    Answer,
+    AnswerAgain,
+    Busy,
+    EndCall,
+}
+
+struct Worker {
+    node: Node,
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+    conns: HashMap<ConnId, LinePeer>,
+    /// Open set-ups, with their connection.
+    open: HashMap<CallId, ConnId>,
+    standing: HashMap<CallId, ConnId>,
+    steps: Vec<(Instant, CallId, ConnId, Step)>,
+    /// Releases to repeat on the next connection.
+    released: Vec<(Instant, CallId)>,
+    random: SplitMix64,
+    journal: Journal,
+}
+
+/// A running exchange; it ends when it is dropped.
+pub struct Exchange {
+    pub address: SocketAddr,
+    behaviour: Arc<Mutex<Behaviour>>,
+    stopped: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Exchange {
+    /// Starts an exchange at this address.
+    pub fn start(
+        node: Node,
+        address: SocketAddr,
+        behaviour: Behaviour,
+        seed: u64,
+        journal: &Journal,
+    ) -> Self {
+        let behaviour = Arc::new(Mutex::new(behaviour));
+        let stopped = Arc::new(AtomicBool::new(false));
+        let mut worker = Worker {
+            node,
+            address,
+            listener: None,
+            conns: HashMap::new(),
+            open: HashMap::new(),
+            standing: HashMap::new(),
+            steps: Vec::new(),
+            released: Vec::new(),
+            random: SplitMix64(seed),
+            journal: journal.clone(),
+        };
+        worker.listen();
+        let (shared, stop) = (behaviour.clone(), stopped.clone());
+        let thread = std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let behaviour = shared.lock().expect("behaviour").clone();
+                worker.work(&behaviour);
+                std::thread::sleep(TICK);
+            }
+        });
+        Self { address, behaviour, stopped, thread: Some(thread) }
+    }
+
+    /// Changes how it treats set-ups.
+    pub fn set_mode(&self, mode: Mode) {
+        self.behaviour.lock().expect("behaviour").mode = mode;
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Worker {
+    fn listen(&mut self) {
+        let listener = TcpListener::bind(self.address).expect("listen");
+        listener.set_nonblocking(true).expect("set the socket non-blocking");
+        self.listener = Some(listener);
+    }
+
+    fn work(&mut self, behaviour: &Behaviour) {
+        match behaviour.mode {
+            Mode::Silent => return,
+            Mode::Down => return self.go_down(),
+            Mode::Serving if self.listener.is_none() => self.listen(),
+            Mode::Serving => {}
+        }
+        self.accept();
+        let conns: Vec<ConnId> = self.conns.keys().copied().collect();
+        for conn in conns {
+            self.read(conn, behaviour);
+        }
+        let now = Instant::now();
+        let (due, later) = std::mem::take(&mut self.steps).into_iter().partition(|(at, ..)| *at <= now);
+        self.steps = later;
+        for (_, call, conn, step) in due {
+            self.take_step(call, conn, &step, behaviour);
+        }
+    }
+
+    fn go_down(&mut self) {
+        self.listener = None;
+        for conn in self.conns.keys().copied().collect::<Vec<_>>() {
+            self.drop_conn(conn);
+        }
+        // A processor that restarts has cut all of its calls.
+        for (call, _) in std::mem::take(&mut self.standing) {
+            self.released.push((Instant::now(), call));
+            self.journal.note(Observation::Ended { exchange: self.node, call, cause: 41 });
+        }
+    }
+
+    fn accept(&mut self) {
+        while let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) {
+            let mut peer = LinePeer::new(stream);
+            peer.send(USAGE);
+            self.released.retain(|(at, _)| at.elapsed() < REPEAT_RELEASES);
+            for (_, call) in &self.released {
+                peer.send(&release_line(*call, 16));
+            }
+            self.conns.insert(NEXT_CONN.fetch_add(1, Ordering::Relaxed), peer);
+        }
+    }
+
+    fn drop_conn(&mut self, conn: ConnId) {
+        self.conns.remove(&conn);
+        self.open.retain(|_, c| *c != conn);
+        self.journal.note(Observation::ExchangeConnEnded { exchange: self.node, conn });
+    }
+
+    fn read(&mut self, conn: ConnId, behaviour: &Behaviour) {
+        let Some(peer) = self.conns.get_mut(&conn) else { return };
+        peer.flush();
+        let (lines, open) = (peer.read_lines(), peer.is_open());
+        for line in lines.into_iter().flatten() {
+            self.handle(conn, &line, behaviour);
+        }
+        if !open {
+            self.drop_conn(conn);
+        }
+    }
+
+    fn handle(&mut self, conn: ConnId, line: &Line, behaviour: &Behaviour) {
+        let Some(call) = line.call() else { return };
+        match line.text("kind") {
+            "launch" => {
+                let left = Duration::from_millis(line.text("meta.left").parse().unwrap_or_default());
+                self.journal.note(Observation::Attempt { exchange: self.node, conn, call, left });
+                self.open.insert(call, conn);
+                let delay = self.draw(&behaviour.setup_ms);
+                let busy = self.random.below(100) < behaviour.busy_percent;
+                self.after(delay, call, conn, if busy { Step::Busy } else { Step::Answer });
+                self.send(conn, USAGE);
+            }
+            "stop" => {
+                self.journal.note(Observation::ReleasedAtExchange { exchange: self.node, call });
+                self.open.remove(&call);
+                self.standing.remove(&call);
+            }
+            "check" => {
+                let line =
+                    format!("{{\"kind\":\"checked\",\"uid\":\"{call:016x}\",\"meta\":{{}},\"reason\":1}}\n");
+                self.send(conn, line.as_bytes());
+            }
+            _ => {}
+        }
+    }
+
+    fn draw(&mut self, range: &Range<u64>) -> Duration {
+        Duration::from_millis(range.start + self.random.below((range.end - range.start).max(1)))
+    }
+
+    fn after(&mut self, delay: Duration, call: CallId, conn: ConnId, step: Step) {
+        self.steps.push((Instant::now() + delay, call, conn, step));
+    }
+
+    fn take_step(&mut self, call: CallId, conn: ConnId, step: &Step, behaviour: &Behaviour) {
+        let is_open = self.open.get(&call) == Some(&conn);
+        match step {
+            Step::Busy if is_open => {
+                self.open.remove(&call);
+                self.journal.note(Observation::Ended { exchange: self.node, call, cause: 17 });
+                self.send(conn, &busy_line(call));
+            }
+            Step::Answer if is_open => self.answer(call, conn, behaviour),
+            Step::AnswerAgain if self.standing.contains_key(&call) => {
+                self.send(conn, &answer_line(call, &description(self.node, call)));
+            }
+            Step::EndCall if self.standing.remove(&call).is_some() => self.end_call(call, conn),
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, call: CallId, conn: ConnId, behaviour: &Behaviour) {
+        let description = description(self.node, call);
+        let line = answer_line(call, &description);
+        self.open.remove(&call);
+        if self.random.below(100) < behaviour.spoilt_percent {
+            self.send(conn, &line[..line.len() / 2]);
+            self.journal.note(Observation::Ended { exchange: self.node, call, cause: 41 });
+            return self.drop_conn(conn);
+        }
+        self.journal.note(Observation::Answered { exchange: self.node, call, description });
+        self.send(conn, &line);
+        self.standing.insert(call, conn);
+        if self.random.below(100) < behaviour.doubled_percent {
+            self.after(Duration::from_millis(3), call, conn, Step::AnswerAgain);
+        }
+        let hold = self.draw(&behaviour.hold_ms);
+        self.after(hold, call, conn, Step::EndCall);
+    }
+
+    /// Ends a call that stands: on the connection of its set-up, otherwise on any, and on the next one that opens.
+    fn end_call(&mut self, call: CallId, conn: ConnId) {
+        self.journal.note(Observation::Ended { exchange: self.node, call, cause: 16 });
+        self.released.push((Instant::now(), call));
+        let conn =
+            if self.conns.contains_key(&conn) { Some(conn) } else { self.conns.keys().next().copied() };
+        if let Some(conn) = conn {
+            self.send(conn, &release_line(call, 16));
+        }
+    }
+
+    fn send(&mut self, conn: ConnId, line: &[u8]) {
+        if let Some(peer) = self.conns.get_mut(&conn) {
+            peer.send(line);
+        }
+    }
+}
+
+const USAGE: &[u8] =
+    b"{\"kind\":\"usage\",\"uid\":\"00000000000000ee\",\"meta\":{\"load\":\"spare:900;total:1000\"}}\n";
+
+fn description(node: Node, call: CallId) -> String {
+    format!("made by {node} for {call:016x}")
+}
+
+fn answer_line(call: CallId, description: &str) -> Vec<u8> {
+    format!("{{\"kind\":\"running\",\"uid\":\"{call:016x}\",\"meta\":{{}},\"body\":\"{description}\"}}\n")
+        .into_bytes()
+}
+
+fn release_line(call: CallId, cause: u32) -> Vec<u8> {
+    format!("{{\"kind\":\"stop\",\"uid\":\"{call:016x}\",\"meta\":{{}},\"reason\":{cause}}}\n").into_bytes()
+}
+
+fn busy_line(call: CallId) -> Vec<u8> {
+    let meta = "{\"note\":\"user_busy\"}";
+    format!("{{\"kind\":\"stop\",\"uid\":\"{call:016x}\",\"meta\":{meta},\"reason\":17}}\n").into_bytes()
+}
--- a/tests/resolver.rs
+++ b/tests/resolver.rs
@@ -1,6 +1,8 @@
 //! The resolver's client against a simulated resolver on loopback: which lists are accepted, and a change of the
 //! resolver's address.
 
+#[path = "common/dns_answer.rs"]
+mod dns_answer;
 #[path = "common/retry.rs"]
 mod retry;
 
@@ -8,9 +10,8 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, bounded};
+use dns_answer::{ListedTarget, list_answer};
 use retry::retry_interrupted;
-use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
-use simple_dns::{CLASS, Name, Packet, ResourceRecord};
 use swiftlb::engine::ListEntry;
 use swiftlb::net::dns::{self, ListSource};
 
@@ -44,23 +45,8 @@
 
 /// A complete answer that lists these exchanges.
 fn answer(id: u16, serial: u32, exchanges: &[&str]) -> Vec<u8> {
-    let service = Name::new_unchecked("_api._tcp.svc.local");
-    let mut packet = Packet::new_reply(id);
-    for exchange in exchanges {
-        let target = Name::new_unchecked(exchange).into_owned();
-        let record = |name: &Name<'static>, data| ResourceRecord::new(name.clone(), CLASS::IN, 0, data);
-        let srv = SRV { priority: 0, weight: 10, port: 5070, target: target.clone() };
-        packet.answers.push(record(&service, RData::SRV(srv)));
-        packet.additional_records.push(record(&target, RData::A(A { address: 0x7f00_0001 })));
-        let text = ["kind=std", "cell=2", "started=0"];
-        let text =
-            text.iter().try_fold(TXT::new(), |text, part| text.with_string(part)).expect("valid text record");
-        packet.additional_records.push(record(&target, RData::TXT(text)));
-    }
-    let (mname, rname) = (service.clone(), service.clone());
-    let soa = SOA { mname, rname, serial, refresh: 1, retry: 1, expire: 1, minimum: 1 };
-    packet.name_servers.push(ResourceRecord::new(service, CLASS::IN, 0, RData::SOA(soa)));
-    packet.build_bytes_vec().expect("build the answer")
+    let exchanges: Vec<ListedTarget> = exchanges.iter().map(|target| ListedTarget::ready(target)).collect();
+    list_answer(id, serial, &exchanges)
 }
 
 fn names(list: &Receiver<Vec<ListEntry>>) -> Vec<String> {
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,131 @@
+//! Shutdown of real softswitch processes on loopback, with callers that go on sending until SIGKILL.
+
+#[path = "common/dns_answer.rs"]
+mod dns_answer;
+#[path = "common/engine_harness.rs"]
+mod engine_harness;
+#[path = "common/rng.rs"]
+mod rng;
+#[path = "common/trial/mod.rs"]
+mod trial;
+
+use std::time::Duration;
+
+use dns_answer::ListedTarget;
+use trial::caller::{Callers, Habits};
+use trial::checker;
+use trial::exchange::{Behaviour, Exchange};
+use trial::process::{Softswitch, TrialDirectory, own_address};
+use trial::resolver::Resolver;
+use trial::{Journal, Observation};
+
+/// Seed of the stand-ins.
+const SEED: u64 = 401_011;
+/// Port of every address of a trial.
+const PORT: u16 = 5_070;
+/// Time under load before SIGTERM.
+const LOAD_TIME: Duration = Duration::from_millis(500);
+/// Time for which new connections arrive after SIGTERM.
+const NEW_CONN_TIME: Duration = Duration::from_millis(300);
+
+/// Habits of callers that send a set-up every 10 ms, with these waiting times.
+fn steady(left_ms: u64) -> Habits {
+    Habits {
+        interval: Duration::from_millis(10),
+        conns: 4,
+        waits: vec![("status", left_ms..left_ms + 1)],
+        dests: vec![1, 2],
+        new_conn_percent: 5,
+        pieces_percent: 0,
+        give_up_percent: 0,
+        hang_up_percent: 0,
+        repeat_percent: 0,
+        malformed_percent: 0,
+    }
+}
+
+/// One softswitch under load with two exchanges that behave like this.
+struct Shutdown {
+    softswitch: Softswitch,
+    callers: Callers,
+    _exchanges: Vec<Exchange>,
+    _resolver: Resolver,
+    journal: Journal,
+    longest_deadline: Duration,
+    _directory: TrialDirectory,
+}
+
+impl Shutdown {
+    fn new(name: &str, deadlines_ms: [u32; 2], behaviour: &Behaviour, habits: Habits) -> Self {
+        let (journal, directory) = (Journal::default(), TrialDirectory::new(name));
+        let addresses: Vec<_> = (0..3).map(|_| own_address(PORT)).collect();
+        let exchanges = (1..3)
+            .map(|node| Exchange::start(node, addresses[node], behaviour.clone(), SEED, &journal))
+            .collect();
+        let list = addresses.iter().enumerate().map(|(cell, address)| {
+            let std::net::SocketAddr::V4(address) = *address else { unreachable!("IPv4 only") };
+            ListedTarget {
+                target: format!("s-{cell}.north.hosts"),
+                address,
+                draining: false,
+                cell,
+                started_ms: 0,
+            }
+        });
+        let resolver = Resolver::start(own_address(PORT), list.collect(), &journal);
+        let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+        let address = own_address(PORT);
+        let config = engine_harness::config_json_with_deadlines(
+            &address.to_string(),
+            &resolver.address.to_string(),
+            &texts,
+            deadlines_ms,
+        );
+        let mut softswitch = Softswitch::new(0, address, &config, &directory.0, &journal);
+        softswitch.start();
+        softswitch.wait_until_ready();
+        let callers = Callers::start(0, address, habits, SEED, &journal);
+        let longest = deadlines_ms.into_iter().max().unwrap_or_default();
+        let longest_deadline = Duration::from_millis(longest.into());
+        Self {
+            softswitch,
+            callers,
+            _exchanges: exchanges,
+            _resolver: resolver,
+            journal,
+            longest_deadline,
+            _directory: directory,
+        }
+    }
+
+    /// SIGTERM under load; new connections stop soon, set-ups on open ones continue until SIGKILL at the earliest time.
+    fn run(mut self) -> Journal {
+        std::thread::sleep(LOAD_TIME);
+        self.softswitch.signal("-TERM");
+        std::thread::sleep(NEW_CONN_TIME);
+        self.callers.set_new_conns(false);
+        self.softswitch.end(self.longest_deadline);
+        self.callers.set_sending(false);
+        std::thread::sleep(self.longest_deadline + Duration::from_secs(1));
+        self.journal
+    }
+}
+
+/// Number of set-ups that were sent this long after SIGTERM, or later.
+fn setups_after_stop(journal: &Journal, delay: Duration) -> usize {
+    let entries = journal.entries();
+    let terminated = entries.iter().find(|(_, o)| matches!(o, Observation::Terminated { .. }));
+    let from = terminated.expect("SIGTERM").0 + delay;
+    entries.iter().filter(|(at, o)| *at >= from && matches!(o, Observation::SetUp { .. })).count()
+}
+
+/// Guards against set-ups that are taken late in a shutdown and have no outcome when the process is killed.
+#[test]
+fn set_ups_that_arrive_until_sigkill_have_their_outcome_before_it_though_exchanges_are_slow() {
+    let behaviour = Behaviour::answering(600..2_500, 4_000..8_000);
+    let shutdown = Shutdown::new("slow", [3_000, 2_000], &behaviour, steady(3_000));
+    let journal = shutdown.run();
+    assert!(setups_after_stop(&journal, Duration::from_millis(700)) > 50, "callers go on sending");
+    let violations = checker::check(&journal);
+    checker::assert_none(&violations, "slow exchanges");
+}
