Give every set-up its outcome before the kill that follows a request to stop

Cause: the reducer did not know when the platform may kill the process. Every set-up was accepted with its own deadline while established calls kept the process alive.

Now the first request to stop sets a shutdown deadline, 0.1 s before the earliest kill (longest class deadline, at most 3 s, plus 0.7 s). It bounds the waiting time of every set-up, new or open; a set-up that would keep neither its own time nor the target of its class is refused at once; open ones end then, and caller connections are closed, so that nothing can arrive just before the kill. The same limit holds while a successor serves, where the same mistake was, after its death, where the time started anew, and after a reload with shorter deadlines.

This works because nothing that is accepted can outlive the deadline, however slow an exchange is.

--- a/crates/record/src/event.rs
+++ b/crates/record/src/event.rs
@@ -287,6 +287,8 @@
     DecisionOverdue,
     /// Data on its caller connection could not be read.
     CallerStreamCorrupt,
+    /// The process was about to be killed after a request to stop.
+    ShuttingDown,
 }
 
 /// Who ended an established call.
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -153,6 +153,7 @@
         }
         FailureReason::DecisionOverdue => "failed: no decision in time".to_owned(),
         FailureReason::CallerStreamCorrupt => "failed: its connection was unreadable".to_owned(),
+        FailureReason::ShuttingDown => "failed: the softswitch was shutting down".to_owned(),
     }
 }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -39,6 +39,7 @@
     Input, ListEntry, SetUp, SiblingMessage,
 };
 use recording::{AttemptResult, RecordBuffer};
+use shutdown::ShutdownDeadline;
 use sibling::Role;
 use swiftlb_record::{Event as RecordEvent, FailureReason, RefusalReason, ReleasedBy};
 
@@ -137,6 +138,8 @@
     CallerReleases,
     /// Check whether the process can exit after a request to stop.
     CheckStopped,
+    /// End all open set-ups, and close caller connections from now on, before the process may be killed.
+    ShutdownDeadline,
     /// Close caller connections that are no longer in use, for the operator's drain that started at this time.
     DrainCallers(SystemTime),
     /// Check whether the process can begin to serve.
@@ -181,6 +184,17 @@
     last_attempt: Option<AttemptResult>,
 }
 
+/// What the engine has to know about a class of calls.
+#[derive(Clone, Debug)]
+struct ClassLimits {
+    name: String,
+    width: f64,
+    /// Longest time that a caller waits.
+    max_wait: Duration,
+    /// Time within which its calls should be answered.
+    target_setup: Duration,
+}
+
 /// A caller connection.
 #[derive(Debug)]
 struct CallerConn {
@@ -211,8 +225,7 @@
     name: String,
     controller: Controller,
     now: SystemTime,
-    /// Name, width and longest wait of each class.
-    classes: Vec<(String, f64, Duration)>,
+    classes: Vec<ClassLimits>,
     home: Option<Number>,
     attempt_limit: u32,
     release_pause: Duration,
@@ -249,6 +262,8 @@
     timer_count: u64,
     /// Events that the decision module has yet to handle.
     controller_events: VecDeque<Event>,
+    /// The limits of the shutdown, from the first request to stop on.
+    shutdown_deadline: Option<ShutdownDeadline>,
     /// When the request to stop arrived.
     stopping_since: Option<SystemTime>,
     /// When the operator's drain that is in progress began.
@@ -309,6 +324,7 @@
             timers: BinaryHeap::new(),
             timer_count: 0,
             controller_events: VecDeque::new(),
+            shutdown_deadline: None,
             stopping_since: None,
             operator_drain_since: None,
             sibling: None,
@@ -455,8 +471,7 @@
                 self.probe_result_received(exchange_conn, passed, report)
             }
             Input::Reload(config) => self.reload(config, effects),
-            Input::Stop if self.successor_serves() => self.stop_for_successor(effects),
-            Input::Stop => self.stop(effects),
+            Input::Stop => self.request_stop(effects),
         }
     }
 
@@ -505,7 +520,8 @@
     /// resolver reports changes since then.
     fn reload(&mut self, config: Box<Config>, effects: &mut Vec<Effect>) {
         let new_index = |name: &String| config.classes.iter().position(|(class, _)| class == name);
-        let new_indexes: Vec<Option<usize>> = self.classes.iter().map(|(name, ..)| new_index(name)).collect();
+        let new_indexes: Vec<Option<usize>> =
+            self.classes.iter().map(|class| new_index(&class.name)).collect();
         if let Err(error) = self.controller.reconfigure(config.settings.clone(), &new_indexes) {
             effects.push(Effect::Log(format!(
                 "configuration refused, the previous one stays in force: {error}"
@@ -521,8 +537,15 @@
     fn configure(&mut self, config: &Config) {
         let settings = &config.settings;
         let classes = config.classes.iter().zip(&settings.classes);
-        self.classes =
-            classes.map(|((name, max_wait), class)| (name.clone(), class.width, *max_wait)).collect();
+        self.classes = classes
+            .map(|((name, max_wait), class)| ClassLimits {
+                name: name.clone(),
+                width: class.width,
+                max_wait: *max_wait,
+                target_setup: duration_from_ms(class.target_setup_ms),
+            })
+            .collect();
+        self.update_shutdown_deadline();
         self.metrics.add_classes(config.classes.iter().map(|(name, _)| name.clone()));
         self.home = settings.home;
         self.attempt_limit = settings.attempt_limit;
@@ -575,6 +598,7 @@
                 self.send_caller_releases(effects);
             }
             Timer::CheckStopped => self.exit_if_done(effects),
+            Timer::ShutdownDeadline => self.enforce_shutdown_deadline(effects),
             Timer::DrainCallers(drain_start) => self.drain_caller_conns(drain_start, effects),
             // `handle` checks the readiness after every input.
             Timer::CheckReady => {}
@@ -653,37 +677,28 @@
             // A message with this id could be taken for the outcome of the call that already has the id.
             return self.abort_caller_conn(caller_conn, effects);
         }
-        let class = self.classes.iter().position(|(class, ..)| *class == setup.class);
+        let class = self.classes.iter().position(|class| class.name == setup.class);
         // Values that are invalid for the class must not reach an exchange, which would accept them as they are.
         let is_valid = |class: &usize| {
-            let (_, width, max_wait) = &self.classes[*class];
-            setup.remaining.is_none_or(|remaining| remaining <= *max_wait)
-                && setup.width.is_none_or(|w| w == *width)
+            let class = &self.classes[*class];
+            setup.remaining.is_none_or(|remaining| remaining <= class.max_wait)
+                && setup.width.is_none_or(|width| width == class.width)
         };
         let Some(class) = class.filter(is_valid) else {
             return self.fail_malformed(caller_conn, uid, effects);
         };
         let bytes = setup.description.as_ref().map_or(0, |text| text.len());
-        // During an operator's drain, and while a successor serves after a request to stop, IAX2 set-ups are refused
-        // one by one: endpoints send them directly, without a platform that stops sending after a failed health check.
-        let draining =
-            (self.operator_drain_since.is_some() || self.stopping_for_successor) && front == Front::Iax2;
-        if draining
-            || self.open_setups >= MAX_OPEN_SETUPS
-            || self.open_description_bytes + bytes > MAX_OPEN_DESCRIPTION_BYTES
-        {
-            self.metrics.count_refused(&setup.class);
-            let reason = if draining { RefusalReason::Draining } else { RefusalReason::TooManySetUps };
-            self.record_refusal(uid, reason, self.max_retry_after);
-            let message = CallerMessage::Refused { retry_after: self.max_retry_after };
-            effects.push(Effect::ToCaller { caller_conn, call: uid, message });
-            return;
+        let limits = &self.classes[class];
+        let width = limits.width;
+        // The caller's waiting time starts when the last byte of the set-up was received, not when it is handled.
+        let deadline = setup.received + setup.remaining.unwrap_or(limits.max_wait);
+        let fits = self.fits_before_exit(deadline, limits.target_setup);
+        if let Some(reason) = self.refusal_on_arrival(front, fits, bytes) {
+            return self.refuse_on_arrival(caller_conn, uid, &setup.class, reason, effects);
         }
         self.open_setups += 1;
         self.open_description_bytes += bytes;
-        let (width, max_wait) = (self.classes[class].1, self.classes[class].2);
-        // The caller's waiting time starts when the last byte of the set-up was received, not when it is handled.
-        let deadline = setup.received + setup.remaining.unwrap_or(max_wait);
+        let deadline = self.deadline_before_exit(deadline);
         self.last_call = self.last_call.wrapping_add(1);
         let id = self.last_call;
         self.controller_events.push_back(Event::Call(NewCall {
@@ -724,6 +739,39 @@
         self.record_setup(id, setup.dest, setup.transit_from, setup.was_cut);
     }
 
+    /// Why a set-up is refused before the decision module sees it, if it is; `fits` says whether the shutdown leaves it
+    /// enough time.
+    fn refusal_on_arrival(
+        &self,
+        front: Front,
+        fits: bool,
+        description_bytes: usize,
+    ) -> Option<RefusalReason> {
+        // During an operator's drain, and while a successor serves after a request to stop, IAX2 set-ups are refused
+        // one by one: endpoints send them directly, without a platform that stops sending after a failed health check.
+        let draining = self.operator_drain_since.is_some() || self.stopping_for_successor;
+        if !fits || (draining && front == Front::Iax2) {
+            return Some(RefusalReason::Draining);
+        }
+        let too_many = self.open_setups >= MAX_OPEN_SETUPS
+            || self.open_description_bytes + description_bytes > MAX_OPEN_DESCRIPTION_BYTES;
+        too_many.then_some(RefusalReason::TooManySetUps)
+    }
+
+    fn refuse_on_arrival(
+        &mut self,
+        caller_conn: CallerConnId,
+        call: CallUid,
+        class: &str,
+        reason: RefusalReason,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.metrics.count_refused(class);
+        let retry_after = self.retry_after_exit().unwrap_or(self.max_retry_after);
+        self.record_refusal(call, reason, retry_after);
+        effects.push(Effect::ToCaller { caller_conn, call, message: CallerMessage::Refused { retry_after } });
+    }
+
     /// Ends a call: sends its caller the final message, if one is due, and frees everything that the call holds.
     fn end_call(&mut self, id: CallId, message: CallerMessage, effects: &mut Vec<Effect>) {
         self.end_call_with_reason(id, message, None, effects);
--- a/src/engine/recording.rs
+++ b/src/engine/recording.rs
@@ -117,7 +117,7 @@
     }
 
     pub(super) fn record_classes(&mut self) {
-        self.record(|engine| Event::Classes(engine.classes.iter().map(|(name, ..)| name.clone()).collect()));
+        self.record(|engine| Event::Classes(engine.classes.iter().map(|class| class.name.clone()).collect()));
     }
 
     pub(super) fn record_setup(
@@ -129,7 +129,7 @@
     ) {
         self.record(|engine| {
             let call = &engine.calls[&id];
-            let class = engine.classes.iter().position(|(name, ..)| *name == call.class);
+            let class = engine.classes.iter().position(|class| class.name == call.class);
             Event::SetUp {
                 call: recorded_uid(call.uid),
                 class: class.unwrap_or_default() as u8,
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -4,9 +4,12 @@
 use std::collections::HashSet;
 use std::time::{Duration, SystemTime};
 
-use swiftlb_record::{DrainSource, Event as RecordEvent};
+use swiftlb_record::{DrainSource, Event as RecordEvent, FailureReason};
 
-use super::{Call, CallerConn, CallerConnId, Effect, Engine, Front, Phase, RELEASE_EXPIRY, Timer, elapsed};
+use super::{
+    Call, CallId, CallerConn, CallerConnId, CallerMessage, Effect, Engine, Front, Phase, RELEASE_EXPIRY,
+    Timer, elapsed,
+};
 
 /// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
 /// connections, and for another 0.2 s on open ones.
@@ -29,9 +32,128 @@
 /// not be open 4 s after it; this limit is 0.1 s earlier.
 const DRAIN_LATE_MESSAGE_TIME: Duration = Duration::from_millis(1_900);
 
+/// Longest class deadline that delays the kill after a request to stop.
+const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
+/// Time from the request to stop to the kill, in addition to the longest class deadline.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// Time before the kill at which no set-up is open any more. Set-ups that arrive on time after a request to stop, within
+/// 0.6 s, keep their whole waiting time.
+const KILL_MARGIN: Duration = Duration::from_millis(100);
+
+/// The time limit of a shutdown: the platform may kill the process shortly after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ShutdownDeadline {
+    requested_at: SystemTime,
+    /// When every set-up must have its final outcome.
+    answer_by: SystemTime,
+}
+
+impl ShutdownDeadline {
+    fn new(requested_at: SystemTime, longest_wait: Duration) -> Self {
+        let time_to_kill = longest_wait.min(MAX_KILL_DEADLINE) + KILL_DELAY;
+        Self { requested_at, answer_by: requested_at + (time_to_kill - KILL_MARGIN) }
+    }
+}
+
 impl Engine {
+    /// Handles a request to stop. Only the first one sets the shutdown deadline: the platform counts from it.
+    pub(super) fn request_stop(&mut self, effects: &mut Vec<Effect>) {
+        if self.shutdown_deadline.is_none() {
+            self.shutdown_deadline = Some(ShutdownDeadline::new(self.now, self.longest_wait()));
+            self.shorten_open_deadlines();
+        }
+        if self.successor_serves() {
+            self.stop_for_successor(effects);
+        } else {
+            self.stop(effects);
+        }
+    }
+
+    fn longest_wait(&self) -> Duration {
+        self.classes.iter().map(|class| class.max_wait).max().unwrap_or_default()
+    }
+
+    /// Adapts the shutdown deadline to a new configuration, which may bring it forward.
+    pub(super) fn update_shutdown_deadline(&mut self) {
+        let Some(current) = self.shutdown_deadline else { return };
+        let new = ShutdownDeadline::new(current.requested_at, self.longest_wait());
+        if new.answer_by < current.answer_by {
+            self.shutdown_deadline = Some(new);
+            self.shorten_open_deadlines();
+        }
+    }
+
+    /// No open set-up may wait for longer than until the shutdown deadline.
+    fn shorten_open_deadlines(&mut self) {
+        let Some(ShutdownDeadline { answer_by, .. }) = self.shutdown_deadline else { return };
+        for call in self.calls.values_mut() {
+            call.deadline = call.deadline.min(answer_by);
+        }
+        self.set_timer(elapsed(self.now, answer_by), Timer::ShutdownDeadline);
+    }
+
+    /// The deadline of a set-up, brought forward if the process may be killed before.
+    pub(super) fn deadline_before_exit(&self, deadline: SystemTime) -> SystemTime {
+        self.shutdown_deadline.map_or(deadline, |shutdown| deadline.min(shutdown.answer_by))
+    }
+
+    /// Whether a set-up with this deadline can be accepted: the shutdown leaves it its whole waiting time, or at least the
+    /// time within which calls of its class should be answered.
+    pub(super) fn fits_before_exit(&self, deadline: SystemTime, target_setup: Duration) -> bool {
+        self.shutdown_deadline.is_none_or(|shutdown| {
+            deadline <= shutdown.answer_by || elapsed(self.now, shutdown.answer_by) >= target_setup
+        })
+    }
+
+    /// During a shutdown, the time after which another process may serve a refused call.
+    pub(super) fn retry_after_exit(&self) -> Option<Duration> {
+        let shutdown = self.shutdown_deadline?;
+        Some(elapsed(self.now, shutdown.answer_by + KILL_MARGIN).min(self.max_retry_after))
+    }
+
+    /// Whether the shutdown deadline is over.
+    fn shutdown_deadline_is_over(&self) -> bool {
+        self.shutdown_deadline.is_some_and(|shutdown| shutdown.answer_by <= self.now)
+    }
+
+    /// Once the shutdown deadline is over, ends the open set-ups and closes the caller connections: a set-up that arrives
+    /// on one of them just before the kill would have no outcome.
+    pub(super) fn enforce_shutdown_deadline(&mut self, effects: &mut Vec<Effect>) {
+        if !self.shutdown_deadline_is_over() {
+            return;
+        }
+        let open = |call: &Call| !matches!(call.phase, Phase::Established { .. });
+        for id in self.calls_where(open) {
+            self.end_at_shutdown(id, effects);
+        }
+        self.set_timer(DRAIN_CHECK_INTERVAL, Timer::ShutdownDeadline);
+        self.close_unused_conns(effects);
+    }
+
+    /// Ends an open set-up: refused if it was never sent to an exchange, otherwise failed.
+    fn end_at_shutdown(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        let was_attempted = self.calls.get(&id).is_some_and(|call| call.attempt_count > 0);
+        self.cancel_and_report(id, effects);
+        if was_attempted {
+            let message = CallerMessage::Failed { busy: false };
+            self.end_call_with_reason(id, message, Some(FailureReason::ShuttingDown), effects);
+        } else {
+            let retry_after = self.retry_after_exit().unwrap_or_default();
+            self.end_call(id, CallerMessage::Refused { retry_after }, effects);
+        }
+    }
+
+    /// Closes the caller connections without an open set-up, as far as the drain or the shutdown requires it.
+    fn close_unused_conns(&mut self, effects: &mut Vec<Effect>) {
+        let with_open_setups = self.conns_with_open_setups();
+        let unused = self.caller_conns.keys().filter(|caller_conn| !with_open_setups.contains(caller_conn));
+        for caller_conn in unused {
+            self.close_draining_conn(*caller_conn, effects);
+        }
+    }
+
     /// Handles a request to stop while no successor serves.
-    pub(super) fn stop(&mut self, effects: &mut Vec<Effect>) {
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
         self.record(|_| RecordEvent::Stopping);
         self.stopping_since.get_or_insert(self.now);
         self.log_shutdown("request to stop", effects);
@@ -78,16 +200,7 @@
             return;
         }
         self.set_timer(DRAIN_CHECK_INTERVAL, Timer::StopForSuccessor);
-        let with_open_setups = self.conns_with_open_setups();
-        let unused: Vec<_> = self
-            .caller_conns
-            .keys()
-            .filter(|caller_conn| !with_open_setups.contains(caller_conn))
-            .copied()
-            .collect();
-        for caller_conn in unused {
-            self.close_draining_conn(caller_conn, effects);
-        }
+        self.close_unused_conns(effects);
         self.exit_if_done(effects);
     }
 
@@ -128,14 +241,15 @@
         candidates.max_by_key(|(id, conn)| (conn.served_call, std::cmp::Reverse(**id))).map(|(id, _)| *id)
     }
 
-    /// Closes a caller connection without an open set-up, if an operator's drain requires it, or a request to stop
-    /// while a successor serves.
+    /// Closes a caller connection without an open set-up, if an operator's drain requires it, the end of the shutdown
+    /// deadline, or a request to stop while a successor serves.
     pub(super) fn close_draining_conn(&self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
         let Some(conn) = self.caller_conns.get(&caller_conn).filter(|conn| conn.front == Front::JsonLines)
         else {
             return;
         };
         let closing = self.stopping_for_successor
+            || self.shutdown_deadline_is_over()
             || self.operator_drain_since.is_some_and(|start| elapsed(start, self.now) >= DRAIN_CLOSE_DELAY);
         // On a connection that opened less than `DRAIN_CLOSE_DELAY` ago, the first message may still be to come.
         if closing
@@ -154,14 +268,14 @@
     }
 
     /// Closes the connection of a set-up that just got its final outcome, if no other set-up is open on it and an
-    /// operator's drain requires it, or a request to stop while a successor serves.
+    /// operator's drain requires it, the end of the shutdown deadline, or a request to stop while a successor serves.
     pub(super) fn close_conn_after_outcome(&self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
         let kept = match self.operator_drain_since {
             Some(start) => {
                 elapsed(start, self.now) < DRAIN_KEEP_TIME
                     && self.conn_kept_for_releases() == Some(caller_conn)
             }
-            None if self.stopping_for_successor => false,
+            None if self.stopping_for_successor || self.shutdown_deadline_is_over() => false,
             None => return,
         };
         if !kept && !self.conns_with_open_setups().contains(&caller_conn) {
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -169,7 +169,7 @@
         }
         if std::mem::take(&mut self.stopping_for_successor) {
             // The successor is gone, but the request to stop is still in force.
-            self.handle_input(super::Input::Stop, effects);
+            self.request_stop(effects);
         }
     }
 }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -520,6 +520,56 @@
     assert!(harness.effects.contains(&Effect::Exit));
 }
 
+/// Guards against set-ups that are taken during a shutdown and still open when the process may be killed, 3.7 s after the
+/// request to stop where the longest deadline is 3 s.
+#[test]
+fn a_set_up_that_arrives_during_a_shutdown_has_its_outcome_before_the_kill_or_is_refused_at_once() {
+    let mut harness = EngineHarness::new(3);
+    harness.handle(Input::Stop);
+    harness.advance(2_000);
+    harness.place_call(1, 1, 3_000);
+    assert_eq!(harness.setup_count(1), 1, "there is time for an answer");
+    harness.advance(700);
+    harness.place_call(2, 1, 800);
+    assert_eq!(harness.setup_count(2), 1, "it has its whole waiting time");
+    harness.place_call(3, 1, 3_000);
+    assert_eq!(
+        harness.caller_messages(3),
+        [CallerMessage::Refused { retry_after: Duration::from_millis(1_000) }],
+        "another process can serve after the kill"
+    );
+    harness.advance(910);
+    assert_eq!(harness.caller_messages(1), [CallerMessage::Failed { busy: false }]);
+    assert!(matches!(harness.caller_messages(2)[..], [CallerMessage::Failed { .. }]));
+    let closed = Effect::CloseCallerConnIfIdle { caller_conn: CALLER_CONN };
+    assert!(harness.effects.contains(&closed), "nothing can arrive on it just before the kill");
+}
+
+/// Guards against the same for set-ups that were open at the request to stop, in a class with a deadline over 3 s, and
+/// after a reload with shorter deadlines.
+#[test]
+fn set_ups_that_are_open_at_the_request_to_stop_have_their_outcome_before_the_kill() {
+    let long = |seconds| {
+        let mut config = engine_harness::config(3);
+        config.classes.iter_mut().for_each(|(_, max_wait)| *max_wait = Duration::from_secs(seconds));
+        Input::Reload(Box::new(config))
+    };
+    let mut harness = EngineHarness::new(3);
+    harness.handle(long(9));
+    harness.place_call(1, 1, 9_000);
+    harness.handle(Input::Stop);
+    harness.advance(3_590);
+    assert!(harness.caller_messages(1).is_empty());
+    harness.advance(20);
+    assert_eq!(harness.caller_messages(1), [CallerMessage::Failed { busy: false }]);
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 3_000);
+    harness.handle(Input::Stop);
+    harness.handle(long(1));
+    harness.advance(1_610);
+    assert_eq!(harness.caller_messages(1), [CallerMessage::Failed { busy: false }]);
+}
+
 #[test]
 fn a_refused_call_gets_its_retry_after_at_once() {
     let mut harness = EngineHarness::new(2);
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -202,6 +202,24 @@
     assert!(old.effects.contains(&Effect::Exit), "without a successor the stop ends as usual");
 }
 
+/// Guards against a shutdown deadline that starts anew when the successor dies, and against one that does not hold while a
+/// successor serves.
+#[test]
+fn the_time_to_the_kill_counts_from_the_first_request_to_stop_also_when_the_successor_dies() {
+    let mut old = EngineHarness::new(3);
+    old.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    let _new = serving_successor(&mut old);
+    old.place_call(1, 1, 3_000);
+    old.handle(Input::Stop);
+    old.advance(2_000);
+    old.place_call(2, 1, 3_000);
+    old.handle(Input::SiblingDisconnected);
+    old.advance(1_610);
+    for call in [1, 2] {
+        assert!(matches!(old.caller_messages(call)[..], [CallerMessage::Failed { .. }]), "call {call}");
+    }
+}
+
 #[test]
 fn learned_values_are_handed_over_and_both_processes_together_keep_the_budget_of_a_cold_exchange() {
     let mut settings = config(3).settings;
