Let releases that wait for a connection delay the exit

Callers saw, in a shutdown: a call that its exchange had ended while no caller connection was open was never released; and an exchange was not told of a release while its connection was being opened again.

Cause: the exit asked only whether a call was left, and a call is removed when its release is queued.

Now a release for a caller delays the exit until the shutdown deadline, one for an exchange for at most 1.5 s, which covers a failed attempt to connect and another one, so that a silent exchange does not hold up a restart. The exit is checked in one place, after every input, instead of in eight.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -387,6 +387,7 @@
         self.handle_input(input, effects);
         self.run_controller(effects);
         self.serve_when_ready(effects);
+        self.exit_if_done(effects);
         self.flush_records(effects);
     }
 
@@ -597,7 +598,8 @@
                 self.release_timer_set = false;
                 self.send_caller_releases(effects);
             }
-            Timer::CheckStopped => self.exit_if_done(effects),
+            // `handle` checks the exit after every input.
+            Timer::CheckStopped => {}
             Timer::ShutdownDeadline => self.enforce_shutdown_deadline(effects),
             Timer::DrainCallers(drain_start) => self.drain_caller_conns(drain_start, effects),
             // `handle` checks the readiness after every input.
@@ -812,7 +814,6 @@
             effects.push(Effect::ToCaller { caller_conn: call.caller_conn, call: call.uid, message });
             self.close_conn_after_outcome(call.caller_conn, effects);
         }
-        self.exit_if_done(effects);
     }
 
     /// Removes a call, cancels its open attempt, if it has one, and tells the decision module that the call is gone.
@@ -915,7 +916,6 @@
     /// depend on its connection and continues.
     fn caller_disconnected(&mut self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
         self.caller_conns.remove(&caller_conn);
-        self.exit_if_done(effects);
         let open =
             |call: &Call| call.caller_conn == caller_conn && !matches!(call.phase, Phase::Established { .. });
         for id in self.calls_where(open) {
@@ -1070,7 +1070,6 @@
                 // A release by the caller is reported as `Cancelled`, whether the call was established or not.
                 self.report_outcome(id, exchange, Outcome::Cancelled, Reason::Unspecified, true);
                 self.remove_call(id, effects);
-                self.exit_if_done(effects);
             }
             _ => self.abandon_call(id, effects),
         }
@@ -1084,7 +1083,6 @@
             self.report_outcome(id, exchange, Outcome::Cancelled, Reason::Unspecified, true);
         }
         self.remove_call(id, effects);
-        self.exit_if_done(effects);
     }
 
     // ---- attempts ----
@@ -1326,7 +1324,6 @@
         self.close_conn_after_outcome(caller_conn, effects);
         self.record_answer(id, exchange);
         self.controller_events.push_back(Event::Answered { call: id, attempt, exchange, elapsed_ms });
-        self.exit_if_done(effects);
     }
 
     /// Handles the end of an attempt or of an established call, as reported by an exchange.
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -40,6 +40,10 @@
 /// 0.6 s, keep their whole waiting time.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time after the request to stop for which releases that wait for a connection to an exchange delay the exit. It covers a
+/// failed attempt to connect and another one; an exchange that is silent for longer is not waited for.
+const EXCHANGE_RELEASE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// The time limit of a shutdown: the platform may kill the process shortly after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ShutdownDeadline {
@@ -158,6 +162,7 @@
         self.stopping_since.get_or_insert(self.now);
         self.log_shutdown("request to stop", effects);
         self.set_timer(MIN_STOP_TIME, Timer::CheckStopped);
+        self.set_timer(EXCHANGE_RELEASE_WAIT, Timer::CheckStopped);
         self.set_timer(MAX_STOP_TIME, Timer::CheckStopped);
     }
 
@@ -191,7 +196,6 @@
             self.log_shutdown("stops while a successor serves", effects);
             self.set_timer(Duration::ZERO, Timer::StopForSuccessor);
         }
-        self.exit_if_done(effects);
     }
 
     /// Closes the caller connections without an open set-up, and exits if nothing is left.
@@ -201,7 +205,6 @@
         }
         self.set_timer(DRAIN_CHECK_INTERVAL, Timer::StopForSuccessor);
         self.close_unused_conns(effects);
-        self.exit_if_done(effects);
     }
 
     /// Closes the caller connections without an open set-up during an operator's drain. Once `DRAIN_KEEP_TIME` is
@@ -290,10 +293,14 @@
         }
     }
 
-    /// Whether the process was asked to stop and nothing delays the exit. While a successor serves: once no call, no queued
-    /// release and no JSON-lines caller connection is left. Otherwise: once `MIN_STOP_TIME` is over and no call is left;
-    /// after `MAX_STOP_TIME`, only calls that are not established delay the exit.
+    /// Whether the process was asked to stop and nothing delays the exit. While a successor serves: once no call, no
+    /// waiting release and no JSON-lines caller connection is left. Otherwise: once `MIN_STOP_TIME` is over and no call is
+    /// left; after `MAX_STOP_TIME`, only calls that are not established delay the exit. Releases that wait for a caller
+    /// delay it until the shutdown deadline, those that wait for an exchange for `EXCHANGE_RELEASE_WAIT`.
     pub fn may_exit(&self) -> bool {
+        if self.exchange_releases_delay_exit() {
+            return false;
+        }
         if self.stopping_for_successor {
             let mut caller_conns = self.caller_conns.values();
             return self.calls.is_empty()
@@ -301,9 +308,18 @@
                 && !caller_conns.any(|conn| conn.front == Front::JsonLines);
         }
         let Some(start) = self.stopping_since else { return false };
-        let time_is_up = elapsed(start, self.now) >= MAX_STOP_TIME;
-        let delays_exit = |call: &Call| !time_is_up || !matches!(call.phase, Phase::Established { .. });
-        !self.calls.values().any(delays_exit) && elapsed(start, self.now) >= MIN_STOP_TIME
+        let stopped_for = elapsed(start, self.now);
+        let delays_exit =
+            |call: &Call| stopped_for < MAX_STOP_TIME || !matches!(call.phase, Phase::Established { .. });
+        stopped_for >= MIN_STOP_TIME
+            && (self.caller_releases.is_empty() || self.shutdown_deadline_is_over())
+            && !self.calls.values().any(delays_exit)
+    }
+
+    fn exchange_releases_delay_exit(&self) -> bool {
+        let requested_at = self.shutdown_deadline.map(|shutdown| shutdown.requested_at);
+        requested_at.is_some_and(|at| elapsed(at, self.now) < EXCHANGE_RELEASE_WAIT)
+            && self.exchanges.values().any(|exchange| !exchange.pending_releases.is_empty())
     }
 
     fn exit(&mut self, effects: &mut Vec<Effect>) {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -570,6 +570,35 @@
     assert_eq!(harness.caller_messages(1), [CallerMessage::Failed { busy: false }]);
 }
 
+/// Guards against releases that wait for a connection, to a caller or to an exchange, and are dropped with the exit.
+#[test]
+fn a_release_that_waits_for_a_connection_delays_the_exit() {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 3_000);
+    harness.answer(1, 1);
+    harness.handle(Input::CallerDisconnected { caller_conn: CALLER_CONN });
+    harness.end_call(1, 1, Outcome::Completed, Reason::Unspecified);
+    harness.handle(Input::Stop);
+    harness.advance(1_000);
+    assert!(!harness.effects.contains(&Effect::Exit), "the caller does not know of the end of its call");
+    harness.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    harness.advance(600);
+    assert_eq!(harness.caller_messages(1).last(), Some(&CallerMessage::Released { cut: false }));
+    assert!(harness.effects.contains(&Effect::Exit));
+
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 3_000);
+    harness.answer(1, 1);
+    harness.handle(Input::ExchangeDisconnected { exchange_conn: harness.exchange_conn(1) });
+    harness.handle(Input::HangUp { caller_conn: CALLER_CONN, call: call_uid(1), cause: 16 });
+    harness.handle(Input::Stop);
+    harness.advance(1_000);
+    assert!(!harness.effects.contains(&Effect::Exit), "the exchange does not know of the end of the call");
+    harness
+        .handle(Input::ExchangeConnected { exchange_conn: harness.exchange_conn(1), carries_calls: false });
+    assert!(harness.effects.contains(&Effect::Exit));
+}
+
 #[test]
 fn a_refused_call_gets_its_retry_after_at_once() {
     let mut harness = EngineHarness::new(2);
