Close connections with a set-up in pieces before the kill that follows a request to stop

Callers saw: a set-up whose first piece was written before the shutdown deadline and whose last byte 2 ms before SIGKILL had no outcome (rule lost).

Cause: from the shutdown deadline on, connections were closed only if no line had begun to arrive on them, and only 0.3 s after they were opened, so a set-up could be complete on them at any time until the kill. The new test on a real process failed before: the connection was open when the process could be killed.

Now, 60 ms before the earliest kill, every caller connection without a complete unread line is closed. A set-up counts as taken when its last byte is written, so one that has only begun is not; its caller learns that from the close and sends it again.

--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -405,6 +405,11 @@
         /// The connection.
         caller_conn: CallerConnId,
     },
+    /// Close a caller connection if no complete line is unread on it; a line that has begun does not keep it open.
+    CloseCallerConnUnlessUnread {
+        /// The connection.
+        caller_conn: CallerConnId,
+    },
     /// Open a connection to an exchange.
     ConnectExchange {
         /// The connection.
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -40,6 +40,9 @@
 /// 0.6 s, keep their whole waiting time.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time after the shutdown deadline from which a connection is closed although a line has begun to arrive on it, or although
+/// it was just opened. The rest until the kill covers what still crosses the close.
+const BEGUN_LINE_GRACE: Duration = Duration::from_millis(40);
 /// Time after the request to stop for which releases that wait for a connection to an exchange delay the exit. It covers a
 /// failed attempt to connect and another one; an exchange that is silent for longer is not waited for.
 const EXCHANGE_RELEASE_WAIT: Duration = Duration::from_millis(1_500);
@@ -131,7 +134,23 @@
             self.end_at_shutdown(id, effects);
         }
         self.set_timer(DRAIN_CHECK_INTERVAL, Timer::ShutdownDeadline);
-        self.close_unused_conns(effects);
+        if self
+            .shutdown_deadline
+            .is_some_and(|shutdown| elapsed(shutdown.answer_by, self.now) >= BEGUN_LINE_GRACE)
+        {
+            self.close_all_conns(effects);
+        } else {
+            self.close_unused_conns(effects);
+        }
+    }
+
+    /// Closes all caller connections; no set-up is open. What has begun to arrive will not be complete in time.
+    fn close_all_conns(&self, effects: &mut Vec<Effect>) {
+        let json_lines = self.caller_conns.iter().filter(|(_, conn)| conn.front == Front::JsonLines);
+        effects.extend(
+            json_lines
+                .map(|(caller_conn, _)| Effect::CloseCallerConnUnlessUnread { caller_conn: *caller_conn }),
+        );
     }
 
     /// Ends an open set-up: refused if it was never sent to an exchange, otherwise failed.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -609,6 +609,7 @@
                 }
             }
             Effect::CloseCallerConnIfIdle { caller_conn } => self.close_if_idle(caller_conn),
+            Effect::CloseCallerConnUnlessUnread { caller_conn } => self.close_unless_unread(caller_conn),
             Effect::ConnectExchange { exchange_conn, number, address, .. } if self.uses_iax2(number) => {
                 let limit = self.connect_timeout;
                 self.with_iax2(|iax2, out| {
@@ -654,13 +655,28 @@
     /// Closes a caller connection if all its data is read and no line is incomplete: a set-up that is still unread
     /// would be lost.
     fn close_if_idle(&mut self, caller_conn: CallerConnId) {
-        let queued = self.inputs.len();
-        self.read_caller(caller_conn);
-        if self.inputs.len() > queued
-            || self.caller_conns.get(&caller_conn).is_none_or(Connection::has_partial_line)
+        if self.has_no_unread_line(caller_conn)
+            && self.caller_conns.get(&caller_conn).is_some_and(|connection| !connection.has_partial_line())
         {
-            return;
+            self.close_caller_conn(caller_conn);
+        }
+    }
+
+    /// Closes a caller connection if no complete line is unread; an incomplete one is dropped.
+    fn close_unless_unread(&mut self, caller_conn: CallerConnId) {
+        if self.has_no_unread_line(caller_conn) {
+            self.close_caller_conn(caller_conn);
         }
+    }
+
+    /// Reads a caller connection; whether nothing was received that the reducer has to handle first.
+    fn has_no_unread_line(&mut self, caller_conn: CallerConnId) -> bool {
+        let queued = self.inputs.len();
+        self.read_caller(caller_conn);
+        self.inputs.len() == queued
+    }
+
+    fn close_caller_conn(&mut self, caller_conn: CallerConnId) {
         let Some(mut connection) = self.caller_conns.remove(&caller_conn) else { return };
         connection.flush();
         // Goes before all queued inputs, so that the reducer sends nothing more on this connection.
--- a/tests/common/trial/caller.rs
+++ b/tests/common/trial/caller.rs
@@ -15,6 +15,8 @@
 
 /// Ids of the calls of all callers.
 static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
+/// The class whose calls may run more than once.
+const REPEATABLE_CLASS: &str = "status";
 /// A set-up that is this old at the end of its connection cannot have crossed it.
 const CROSSING_TIME: Duration = Duration::from_millis(50);
 /// Callers close a connection with no call on it after this time.
@@ -132,7 +134,7 @@
     peer: LinePeer,
     last_used: Instant,
     /// The rest of a set-up that is written in pieces, when it is written, and its call.
-    rest: Option<(Instant, Vec<u8>, CallId, Duration, Node)>,
+    rest: Option<(Instant, SetUp)>,
 }
 
 struct Worker {
@@ -223,17 +225,21 @@
         connection.last_used = now;
         if in_pieces {
             connection.peer.send(&setup.line[..cut]);
-            let rest = setup.line[cut..].to_vec();
-            connection.rest = Some((now + pause, rest, setup.call, setup.left, setup.dest));
+            let line = setup.line[cut..].to_vec();
+            connection.rest = Some((now + pause, SetUp { line, ..setup }));
         } else {
-            connection.peer.send(&setup.line);
-            self.note_setup(conn, setup.call, setup.left, setup.dest);
+            // Noted before it is written: an exchange may see it before this thread goes on.
+            self.note_setup(conn, &setup);
+            if let Some(connection) = self.conns.get_mut(&conn) {
+                connection.peer.send(&setup.line);
+            }
         }
     }
 
-    fn note_setup(&mut self, conn: ConnId, call: CallId, left: Duration, dest: Node) {
+    fn note_setup(&mut self, conn: ConnId, setup: &SetUp) {
+        let SetUp { call, left, dest, may_repeat, .. } = *setup;
         let softswitch = self.softswitch;
-        self.journal.note(Observation::SetUp { softswitch, conn, call, left, dest });
+        self.journal.note(Observation::SetUp { softswitch, conn, call, left, dest, may_repeat });
         if let Some(call) = self.calls.get_mut(&call) {
             call.sent_at = Instant::now();
         }
@@ -249,10 +255,10 @@
             .collect();
         for id in due {
             let Some(conn) = self.conns.get_mut(&id) else { continue };
-            let Some((_, rest, call, left, dest)) = conn.rest.take() else { continue };
-            conn.peer.send(&rest);
-            if conn.peer.is_open() {
-                self.note_setup(id, call, left, dest);
+            let Some((_, rest)) = conn.rest.take() else { continue };
+            self.note_setup(id, &rest);
+            if let Some(conn) = self.conns.get_mut(&id) {
+                conn.peer.send(&rest.line);
             }
         }
     }
@@ -306,9 +312,9 @@
         let Some(ended) = self.conns.remove(&conn) else { return };
         let softswitch = self.softswitch;
         self.journal.note(Observation::CallerConnEnded { softswitch, conn, end: ConnEnd::Remote });
-        if let Some((_, _, call, ..)) = ended.rest {
+        if let Some((_, rest)) = ended.rest {
             // The set-up was never written whole.
-            self.calls.remove(&call);
+            self.calls.remove(&rest.call);
         }
         let open: Vec<CallId> = self
             .calls
@@ -376,11 +382,14 @@
     }
 }
 
+/// A set-up, or the rest of one.
+#[derive(Debug)]
 struct SetUp {
     call: CallId,
     line: Vec<u8>,
     left: Duration,
     dest: Node,
+    may_repeat: bool,
 }
 
 fn setup_line(call: CallId, class: &str, dest: Node, left_ms: u64) -> SetUp {
@@ -388,5 +397,6 @@
         "{{\"kind\":\"launch\",\"uid\":\"{call:016x}\",\"meta\":{{\"class\":\"{class}\",\"left\":\"{left_ms}\",\
          \"key\":\"{call:016x}\",\"extras\":\"dest:{dest};width:1;via:-1\"}},\"body\":\"v=0\\r\\n\"}}\n"
     );
-    SetUp { call, line: line.into_bytes(), left: Duration::from_millis(left_ms), dest }
+    let left = Duration::from_millis(left_ms);
+    SetUp { call, line: line.into_bytes(), left, dest, may_repeat: class == REPEATABLE_CLASS }
 }
--- a/tests/common/trial/exchange.rs
+++ b/tests/common/trial/exchange.rs
@@ -39,6 +39,8 @@
     pub busy_percent: u64,
     /// Share of the answers that are followed by a second one some ms later, in percent.
     pub doubled_percent: u64,
+    /// Share of the answers that are written in two pieces, in percent.
+    pub pieces_percent: u64,
     /// Share of the answers that are cut short, after which the connection is closed, in percent.
     pub spoilt_percent: u64,
     pub mode: Mode,
@@ -52,6 +54,7 @@
             hold_ms,
             busy_percent: 0,
             doubled_percent: 0,
+            pieces_percent: 0,
             spoilt_percent: 0,
             mode: Mode::Serving,
         }
@@ -67,32 +70,37 @@
 
 struct Worker {
     node: Node,
-    address: SocketAddr,
-    listener: Option<TcpListener>,
-    conns: HashMap<ConnId, LinePeer>,
+    /// Where each softswitch connects: its connections are told apart by that.
+    addresses: Vec<SocketAddr>,
+    /// Empty while the exchange is down.
+    listeners: Vec<TcpListener>,
+    conns: HashMap<ConnId, (Node, LinePeer)>,
     /// Open set-ups, with their connection.
     open: HashMap<CallId, ConnId>,
-    standing: HashMap<CallId, ConnId>,
+    /// Calls that stand, with their softswitch and the connection of their set-up.
+    standing: HashMap<CallId, (Node, ConnId)>,
     steps: Vec<(Instant, CallId, ConnId, Step)>,
-    /// Releases to repeat on the next connection.
-    released: Vec<(Instant, CallId)>,
+    /// Releases to repeat on the next connection of their softswitch.
+    released: Vec<(Instant, Node, CallId)>,
     random: SplitMix64,
     journal: Journal,
 }
 
 /// A running exchange; it ends when it is dropped.
 pub struct Exchange {
-    pub address: SocketAddr,
+    node: Node,
+    journal: Journal,
     behaviour: Arc<Mutex<Behaviour>>,
+    reset: Arc<AtomicBool>,
     stopped: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl Exchange {
-    /// Starts an exchange at this address.
+    /// Starts an exchange at these addresses, one for each softswitch.
     pub fn start(
         node: Node,
-        address: SocketAddr,
+        addresses: Vec<SocketAddr>,
         behaviour: Behaviour,
         seed: u64,
         journal: &Journal,
@@ -101,8 +109,8 @@
         let stopped = Arc::new(AtomicBool::new(false));
         let mut worker = Worker {
             node,
-            address,
-            listener: None,
+            addresses,
+            listeners: Vec::new(),
             conns: HashMap::new(),
             open: HashMap::new(),
             standing: HashMap::new(),
@@ -113,19 +121,30 @@
         };
         worker.listen();
         let (shared, stop) = (behaviour.clone(), stopped.clone());
+        let reset = Arc::new(AtomicBool::new(false));
+        let reset_now = reset.clone();
         let thread = std::thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
                 let behaviour = shared.lock().expect("behaviour").clone();
+                if reset_now.swap(false, Ordering::Relaxed) {
+                    worker.drop_all_conns();
+                }
                 worker.work(&behaviour);
                 std::thread::sleep(TICK);
             }
         });
-        Self { address, behaviour, stopped, thread: Some(thread) }
+        Self { node, journal: journal.clone(), behaviour, reset, stopped, thread: Some(thread) }
     }
 
-    /// Changes how it treats set-ups.
+    /// Makes it work, hang or go down.
     pub fn set_mode(&self, mode: Mode) {
         self.behaviour.lock().expect("behaviour").mode = mode;
+        self.journal.note(Observation::ModeChanged { exchange: self.node, mode });
+    }
+
+    /// Ends all of its connections, also under set-ups that have begun; it goes on listening.
+    pub fn reset_conns(&self) {
+        self.reset.store(true, Ordering::Relaxed);
     }
 }
 
@@ -140,16 +159,18 @@
 
 impl Worker {
     fn listen(&mut self) {
-        let listener = TcpListener::bind(self.address).expect("listen");
-        listener.set_nonblocking(true).expect("set the socket non-blocking");
-        self.listener = Some(listener);
+        for address in &self.addresses {
+            let listener = TcpListener::bind(address).expect("listen");
+            listener.set_nonblocking(true).expect("set the socket non-blocking");
+            self.listeners.push(listener);
+        }
     }
 
     fn work(&mut self, behaviour: &Behaviour) {
         match behaviour.mode {
             Mode::Silent => return,
             Mode::Down => return self.go_down(),
-            Mode::Serving if self.listener.is_none() => self.listen(),
+            Mode::Serving if self.listeners.is_empty() => self.listen(),
             Mode::Serving => {}
         }
         self.accept();
@@ -166,29 +187,44 @@
     }
 
     fn go_down(&mut self) {
-        self.listener = None;
-        for conn in self.conns.keys().copied().collect::<Vec<_>>() {
-            self.drop_conn(conn);
-        }
+        self.listeners.clear();
+        self.drop_all_conns();
         // A processor that restarts has cut all of its calls.
-        for (call, _) in std::mem::take(&mut self.standing) {
-            self.released.push((Instant::now(), call));
+        for (call, (softswitch, _)) in std::mem::take(&mut self.standing) {
+            self.released.push((Instant::now(), softswitch, call));
             self.journal.note(Observation::Ended { exchange: self.node, call, cause: 41 });
         }
     }
 
+    fn drop_all_conns(&mut self) {
+        for conn in self.conns.keys().copied().collect::<Vec<_>>() {
+            self.drop_conn(conn);
+        }
+    }
+
     fn accept(&mut self) {
-        while let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) {
-            let mut peer = LinePeer::new(stream);
-            peer.send(USAGE);
-            self.released.retain(|(at, _)| at.elapsed() < REPEAT_RELEASES);
-            for (_, call) in &self.released {
-                peer.send(&release_line(*call, 16));
+        for softswitch in 0..self.listeners.len() {
+            while let Ok((stream, _)) = self.listeners[softswitch].accept() {
+                self.add_conn(softswitch, LinePeer::new(stream));
             }
-            self.conns.insert(NEXT_CONN.fetch_add(1, Ordering::Relaxed), peer);
         }
     }
 
+    /// Adds a connection and repeats on it the releases that were sent to this softswitch.
+    fn add_conn(&mut self, softswitch: Node, mut peer: LinePeer) {
+        peer.send(USAGE);
+        let (repeated, others) = std::mem::take(&mut self.released)
+            .into_iter()
+            .filter(|(at, ..)| at.elapsed() < REPEAT_RELEASES)
+            .partition(|(_, node, _)| *node == softswitch);
+        self.released = others;
+        for (_, _, call) in repeated {
+            peer.send(&release_line(call, 16));
+            self.journal.note(Observation::Ended { exchange: self.node, call, cause: 16 });
+        }
+        self.conns.insert(NEXT_CONN.fetch_add(1, Ordering::Relaxed), (softswitch, peer));
+    }
+
     fn drop_conn(&mut self, conn: ConnId) {
         self.conns.remove(&conn);
         self.open.retain(|_, c| *c != conn);
@@ -196,7 +232,7 @@
     }
 
     fn read(&mut self, conn: ConnId, behaviour: &Behaviour) {
-        let Some(peer) = self.conns.get_mut(&conn) else { return };
+        let Some((_, peer)) = self.conns.get_mut(&conn) else { return };
         peer.flush();
         let (lines, open) = (peer.read_lines(), peer.is_open());
         for line in lines.into_iter().flatten() {
@@ -253,7 +289,11 @@
             Step::AnswerAgain if self.standing.contains_key(&call) => {
                 self.send(conn, &answer_line(call, &description(self.node, call)));
             }
-            Step::EndCall if self.standing.remove(&call).is_some() => self.end_call(call, conn),
+            Step::EndCall => {
+                if let Some((softswitch, conn)) = self.standing.remove(&call) {
+                    self.end_call(call, softswitch, conn);
+                }
+            }
             _ => {}
         }
     }
@@ -268,8 +308,16 @@
             return self.drop_conn(conn);
         }
         self.journal.note(Observation::Answered { exchange: self.node, call, description });
-        self.send(conn, &line);
-        self.standing.insert(call, conn);
+        if self.random.below(100) < behaviour.pieces_percent {
+            // Small enough to be one piece each on the wire; the rest follows within a tick.
+            self.send(conn, &line[..line.len() / 3]);
+            std::thread::sleep(TICK);
+            self.send(conn, &line[line.len() / 3..]);
+        } else {
+            self.send(conn, &line);
+        }
+        let softswitch = self.conns.get(&conn).map_or(0, |(softswitch, _)| *softswitch);
+        self.standing.insert(call, (softswitch, conn));
         if self.random.below(100) < behaviour.doubled_percent {
             self.after(Duration::from_millis(3), call, conn, Step::AnswerAgain);
         }
@@ -277,19 +325,20 @@
         self.after(hold, call, conn, Step::EndCall);
     }
 
-    /// Ends a call that stands: on the connection of its set-up, otherwise on any, and on the next one that opens.
-    fn end_call(&mut self, call: CallId, conn: ConnId) {
-        self.journal.note(Observation::Ended { exchange: self.node, call, cause: 16 });
-        self.released.push((Instant::now(), call));
-        let conn =
-            if self.conns.contains_key(&conn) { Some(conn) } else { self.conns.keys().next().copied() };
+    /// Ends a call that stands: on the connection of its set-up, otherwise on any of its softswitch, and on the next one
+    /// that it opens.
+    fn end_call(&mut self, call: CallId, softswitch: Node, conn: ConnId) {
+        self.released.push((Instant::now(), softswitch, call));
+        let any = || self.conns.iter().find(|(_, (node, _))| *node == softswitch).map(|(id, _)| *id);
+        let conn = if self.conns.contains_key(&conn) { Some(conn) } else { any() };
         if let Some(conn) = conn {
             self.send(conn, &release_line(call, 16));
+            self.journal.note(Observation::Ended { exchange: self.node, call, cause: 16 });
         }
     }
 
     fn send(&mut self, conn: ConnId, line: &[u8]) {
-        if let Some(peer) = self.conns.get_mut(&conn) {
+        if let Some((_, peer)) = self.conns.get_mut(&conn) {
             peer.send(line);
         }
     }
--- a/tests/common/trial/mod.rs
+++ b/tests/common/trial/mod.rs
@@ -6,8 +6,10 @@
 pub mod checker;
 pub mod exchange;
 pub mod line_peer;
+pub mod plan;
 pub mod process;
 pub mod resolver;
+pub mod run;
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -46,7 +48,7 @@
 #[derive(Clone, Debug)]
 pub enum Observation {
     /// A caller has written the last byte of a set-up.
-    SetUp { softswitch: Node, conn: ConnId, call: CallId, left: Duration, dest: Node },
+    SetUp { softswitch: Node, conn: ConnId, call: CallId, left: Duration, dest: Node, may_repeat: bool },
     /// A set-up crossed the end of a connection on which no other one was open; its caller sends it again.
     Crossed { call: CallId },
     /// A caller has given a set-up up, or closed its connection.
@@ -69,6 +71,12 @@
     ReleasedAtExchange { exchange: Node, call: CallId },
     /// A connection between a softswitch and an exchange has ended, and with it the open set-ups on it.
     ExchangeConnEnded { exchange: Node, conn: ConnId },
+    /// An exchange works, hangs or is down from now on.
+    ModeChanged { exchange: Node, mode: exchange::Mode },
+    /// The resolver answers no query, or answers again.
+    ResolverSilent { on: bool },
+    /// A process went over a limit.
+    Limits { softswitch: Node, detail: String },
     /// The resolver's list says that an exchange drains or is gone.
     ListedUnavailable { exchange: Node },
     /// A process was started.
@@ -98,6 +106,12 @@
         self.0.lock().expect("journal").push((at, observation));
     }
 
+    /// Number of set-ups so far.
+    pub fn setup_count(&self) -> usize {
+        let entries = self.0.lock().expect("journal");
+        entries.iter().filter(|(_, observation)| matches!(observation, Observation::SetUp { .. })).count()
+    }
+
     /// All observations so far, oldest first.
     pub fn entries(&self) -> Vec<(Instant, Observation)> {
         let mut entries = self.0.lock().expect("journal").clone();
--- a/tests/common/trial/process.rs
+++ b/tests/common/trial/process.rs
@@ -1,5 +1,6 @@
 //! A softswitch process: its configuration, signals and end.
 
+use std::cell::Cell;
 use std::fs::File;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -17,6 +18,10 @@
 /// Time from SIGTERM to SIGKILL, beyond the longest deadline.
 const KILL_DELAY: Duration = Duration::from_millis(700);
 
+/// Limits of a process, as its configuration gives them.
+const MAX_RESIDENT_KB: usize = 192 * 1_024;
+const MAX_DESCRIPTORS: usize = 1_024;
+
 /// A loopback address that nothing else uses: its IP address is made from the process id and a counter, and outgoing
 /// connections have other source addresses.
 pub fn own_address(port: u16) -> SocketAddr {
@@ -37,7 +42,7 @@
 
 /// A directory for the files of one trial; removed with it unless the trial failed.
 #[derive(Debug)]
-pub struct TrialDirectory(pub PathBuf);
+pub struct TrialDirectory(pub PathBuf, Cell<bool>);
 
 impl TrialDirectory {
     /// Creates a directory with a name of its own.
@@ -46,13 +51,18 @@
         let count = COUNT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("swiftlb-{name}-{}-{count}", std::process::id()));
         std::fs::create_dir_all(&path).expect("create the directory");
-        Self(path)
+        Self(path, Cell::new(false))
+    }
+
+    /// Keeps the files: the trial found something.
+    pub fn keep(&self) {
+        self.1.set(true);
     }
 }
 
 impl Drop for TrialDirectory {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if std::thread::panicking() || self.1.get() {
             eprintln!("files of the failed trial: {}", self.0.display());
         } else {
             let _ = std::fs::remove_dir_all(&self.0);
@@ -160,6 +170,25 @@
         let _ = Command::new("kill").args([name, &id]).stderr(Stdio::null()).status().expect("run kill");
     }
 
+    /// When SIGTERM was first sent to the running process.
+    pub fn terminated_at(&self) -> Option<Instant> {
+        self.terminated_at
+    }
+
+    /// Notes when the process is over its limits of memory and descriptors, those of its configuration.
+    pub fn check_limits(&self, journal: &Journal) {
+        let Some(id) = self.id() else { return };
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident_kb: usize =
+            resident.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or_default();
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
+        if resident_kb > MAX_RESIDENT_KB || descriptors > MAX_DESCRIPTORS {
+            let detail = format!("{resident_kb} kB resident, {descriptors} descriptors");
+            journal.note(Observation::Limits { softswitch: self.node, detail });
+        }
+    }
+
     /// When SIGKILL is due, for a deployment with this longest deadline; `None` before SIGTERM.
     pub fn kill_time(&self, longest_deadline: Duration) -> Option<Instant> {
         self.terminated_at.map(|at| at + time_to_kill(longest_deadline))
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -13,19 +13,16 @@
 
 use std::time::Duration;
 
-use dns_answer::ListedTarget;
 use endpoints::{JsonLinesConn, ListeningExchange, launch_line};
 use trial::caller::{Callers, Habits};
 use trial::checker;
-use trial::exchange::{Behaviour, Exchange};
+use trial::exchange::Behaviour;
 use trial::process::{Softswitch, TrialDirectory, own_address};
-use trial::resolver::Resolver;
+use trial::run::{Network, PORT};
 use trial::{Journal, Observation};
 
 /// Seed of the stand-ins.
 const SEED: u64 = 401_011;
-/// Port of every address of a trial.
-const PORT: u16 = 5_070;
 /// Time under load before SIGTERM.
 const LOAD_TIME: Duration = Duration::from_millis(500);
 /// Time for which new connections arrive after SIGTERM.
@@ -51,8 +48,7 @@
 struct Shutdown {
     softswitch: Softswitch,
     callers: Callers,
-    _exchanges: Vec<Exchange>,
-    _resolver: Resolver,
+    _network: Network,
     journal: Journal,
     longest_deadline: Duration,
     _directory: TrialDirectory,
@@ -61,44 +57,14 @@
 impl Shutdown {
     fn new(name: &str, deadlines_ms: [u32; 2], behaviour: &Behaviour, habits: Habits) -> Self {
         let (journal, directory) = (Journal::default(), TrialDirectory::new(name));
-        let addresses: Vec<_> = (0..3).map(|_| own_address(PORT)).collect();
-        let exchanges = (1..3)
-            .map(|node| Exchange::start(node, addresses[node], behaviour.clone(), SEED, &journal))
-            .collect();
-        let list = addresses.iter().enumerate().map(|(cell, address)| {
-            let std::net::SocketAddr::V4(address) = *address else { unreachable!("IPv4 only") };
-            ListedTarget {
-                target: format!("s-{cell}.north.hosts"),
-                address,
-                draining: false,
-                cell,
-                started_ms: 0,
-            }
-        });
-        let resolver = Resolver::start(own_address(PORT), list.collect(), &journal);
-        let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
-        let address = own_address(PORT);
-        let config = engine_harness::config_json_with_deadlines(
-            &address.to_string(),
-            &resolver.address.to_string(),
-            &texts,
-            deadlines_ms,
-        );
-        let mut softswitch = Softswitch::new(0, address, &config, &directory.0, &journal);
+        let network = Network::start(1, 2, behaviour, SEED, &journal);
+        let mut softswitch = network.softswitch(0, deadlines_ms, &directory, &journal);
         softswitch.start();
         softswitch.wait_until_ready();
-        let callers = Callers::start(0, address, habits, SEED, &journal);
+        let callers = Callers::start(0, softswitch.address, habits, SEED, &journal);
         let longest = deadlines_ms.into_iter().max().unwrap_or_default();
         let longest_deadline = Duration::from_millis(longest.into());
-        Self {
-            softswitch,
-            callers,
-            _exchanges: exchanges,
-            _resolver: resolver,
-            journal,
-            longest_deadline,
-            _directory: directory,
-        }
+        Self { softswitch, callers, _network: network, journal, longest_deadline, _directory: directory }
     }
 
     /// SIGTERM under load; new connections stop soon, set-ups on open ones continue until SIGKILL at the earliest time.
@@ -134,12 +100,16 @@
 }
 
 /// A started softswitch with one exchange, the exchange's connection, and two connections of callers.
-fn started_with_two_callers(name: &str) -> (Softswitch, TrialDirectory, JsonLinesConn, [JsonLinesConn; 2]) {
+fn started_with_two_callers(
+    name: &str,
+    deadlines_ms: [u32; 2],
+) -> (Softswitch, TrialDirectory, JsonLinesConn, [JsonLinesConn; 2]) {
     let directory = TrialDirectory::new(name);
     let exchange = ListeningExchange::new();
     let addresses = [own_address(PORT).to_string(), exchange.address().to_string()];
     let (address, resolver) = (own_address(PORT), own_address(PORT).to_string());
-    let config = engine_harness::config_json(&address.to_string(), &resolver, &addresses);
+    let config =
+        engine_harness::config_json_with_deadlines(&address.to_string(), &resolver, &addresses, deadlines_ms);
     let mut softswitch = Softswitch::new(0, address, &config, &directory.0, &Journal::default());
     softswitch.start();
     let exchange = exchange.accept();
@@ -156,7 +126,7 @@
 #[test]
 fn a_set_up_that_arrives_together_with_the_end_of_the_last_call_has_its_outcome_before_the_exit() {
     let (mut softswitch, _directory, mut exchange, [mut first, mut second]) =
-        started_with_two_callers("last-call");
+        started_with_two_callers("last-call", engine_harness::DEADLINES_MS);
     first.send(&launch_line("00000000000000a1", 1, 3_000));
     exchange.expect("launch", "00000000000000a1");
     second.assert_quiet();
@@ -179,3 +149,22 @@
     second.expect("stop", "00000000000000a2");
     softswitch.end(Duration::from_secs(3));
 }
+
+/// Guards against a set-up in pieces whose last byte arrives so shortly before the kill that it has no outcome.
+#[test]
+fn a_connection_with_a_set_up_that_has_only_begun_is_closed_before_the_kill() {
+    let deadlines_ms = [300, 300];
+    let (mut softswitch, _directory, mut exchange, [mut first, mut second]) =
+        started_with_two_callers("piece", deadlines_ms);
+    first.send(&launch_line("00000000000000a1", 1, 300));
+    exchange.expect("launch", "00000000000000a1");
+    exchange.send(r#"{"kind":"running","uid":"00000000000000a1","meta":{},"body":""}"#);
+    first.expect("running", "00000000000000a1");
+    softswitch.signal("-TERM");
+    let kill_at = softswitch.kill_time(Duration::from_millis(deadlines_ms[0].into())).expect("SIGTERM");
+    std::thread::sleep(Duration::from_millis(800));
+    second.send_raw(&launch_line("00000000000000a2", 1, 300).as_bytes()[..40]);
+    assert!(second.receive().is_none());
+    assert!(std::time::Instant::now() < kill_at, "before the process may be killed");
+    assert!(softswitch.is_running(), "a call is established");
+}
