Do not start the time for last retransmissions again with every input during the exit

On-call staff saw: a process that was done went on for as long as an IAX2 peer sent no acknowledgement.

Now the first request sets the deadline. It is given up only if a call has begun meanwhile, and set anew by the next one.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -93,8 +93,8 @@
 
 impl Exit {
     /// When the driver has to look again.
-    fn next_time(self, now: SystemTime) -> Option<SystemTime> {
-        if now < self.close_at { Some(self.close_at) } else { (now < self.deadline).then_some(self.deadline) }
+    fn next_time(self, now: SystemTime) -> SystemTime {
+        if now < self.close_at { self.close_at } else { self.deadline }
     }
 }
 
@@ -207,8 +207,7 @@
         let idle = self.caller_conns.is_empty() && self.exchange_conns.is_empty() && self.closing.is_empty();
         let timeout_check = (!idle || !self.closed_connections.is_empty()).then_some(self.timeout_check_at);
         let operator_server = self.operator_server.as_ref().and_then(OperatorServer::next_timeout);
-        // A set-up that arrives during the exit may outlast the deadline; then the reducer sets the time.
-        let exit = self.exit.and_then(|exit| exit.next_time(SystemTime::now()));
+        let exit = self.exit.map(|exit| exit.next_time(SystemTime::now()));
         [iax2_timeout, exit, self.accept_retry_at, readable, timeout_check, operator_server]
             .into_iter()
             .flatten()
@@ -229,10 +228,10 @@
     /// Begins the exit: accepts the connections that wait in the backlog and stops listening, so that further callers
     /// learn at once that nothing of theirs was taken.
     fn begin_exit(&mut self) {
-        let now = SystemTime::now();
-        if self.exit.is_some_and(|exit| now < exit.deadline) {
+        if self.exit.is_some() {
             return;
         }
+        let now = SystemTime::now();
         self.exit = Some(Exit { close_at: now + EXIT_SETTLE_TIME, deadline: now + FINAL_RETRANSMIT_TIME });
         if self.accepting {
             while self.accept_some() == Accepted::MoreMayWait {}
@@ -241,6 +240,11 @@
         self.listener = None;
     }
 
+    /// Gives the exit up until the reducer requests it again: a call has begun meanwhile.
+    pub(super) fn postpone_exit(&mut self) {
+        self.exit = None;
+    }
+
     /// During the exit, closes each caller connection on which nothing has arrived that is still to be read. No set-up may
     /// be open on any.
     pub(super) fn close_callers_for_exit(&mut self) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -326,9 +326,10 @@
             if engine.may_exit() {
                 driver.close_callers_for_exit();
                 wake = run_reducer(&mut driver, &mut engine);
+            } else {
+                driver.postpone_exit();
             }
             driver.flush();
-            // A set-up may have arrived after the reducer requested the exit.
             if driver.is_done() && engine.may_exit() {
                 tracing::info!("exits");
                 driver.flush_and_stop(FINAL_WRITE_TIMEOUT);
