Close a connection once its set-up is refused after the shutdown deadline

Callers saw: a set-up that came 1 ms before SIGKILL, on a connection that had been opened again after a close, had no outcome (rule lost).

Cause: a set-up that crossed the close is sent again on a new connection, and this was closed only by the next look, up to 50 ms later; its caller went on sending on it until the kill. The new test in virtual time failed before.

Now the refusal closes the connection, as every other outcome does.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -772,6 +772,7 @@
         let retry_after = self.retry_after_exit().unwrap_or(self.max_retry_after);
         self.record_refusal(call, reason, retry_after);
         effects.push(Effect::ToCaller { caller_conn, call, message: CallerMessage::Refused { retry_after } });
+        self.close_conn_after_outcome(caller_conn, effects);
     }
 
     /// Ends a call: sends its caller the final message, if one is due, and frees everything that the call holds.
--- a/tests/common/trial/caller.rs
+++ b/tests/common/trial/caller.rs
@@ -19,6 +19,8 @@
 const REPEATABLE_CLASS: &str = "status";
 /// A set-up that is this old at the end of its connection cannot have crossed it.
 const CROSSING_TIME: Duration = Duration::from_millis(50);
+/// Time between two attempts to open a connection on which nothing is sent.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(100);
 /// Callers close a connection with no call on it after this time.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -86,6 +88,7 @@
             calls: HashMap::new(),
             repeats: 0,
             next_setup: Instant::now(),
+            next_connect: Instant::now(),
             random: SplitMix64(seed),
             journal: journal.clone(),
         };
@@ -145,6 +148,7 @@
     /// Refused set-ups that are to come again at once.
     repeats: u32,
     next_setup: Instant,
+    next_connect: Instant,
     random: SplitMix64,
     journal: Journal,
 }
@@ -158,6 +162,7 @@
         self.write_rests();
         self.give_up_and_hang_up();
         self.close_idle();
+        self.keep_conn_for_releases();
         let now = Instant::now();
         if !self.control.sending.load(Ordering::Relaxed) {
             self.repeats = 0;
@@ -369,6 +374,16 @@
         }
     }
 
+    /// Callers that wait for the end of a call that stands open a connection if they have none.
+    fn keep_conn_for_releases(&mut self) {
+        let may_open = self.control.new_conns.load(Ordering::Relaxed) && self.next_connect <= Instant::now();
+        let waits = self.calls.values().any(|call| call.stands_since.is_some());
+        if may_open && waits && self.conns.is_empty() {
+            self.next_connect = Instant::now() + RECONNECT_INTERVAL;
+            self.connect();
+        }
+    }
+
     fn close_idle(&mut self) {
         let used: HashSet<ConnId> = self.calls.values().map(|call| call.conn).collect();
         let idle = |id: &ConnId, conn: &Conn| !used.contains(id) && conn.last_used.elapsed() >= IDLE_TIME;
--- a/tests/common/trial/run.rs
+++ b/tests/common/trial/run.rs
@@ -17,6 +17,8 @@
 pub const PORT: u16 = 5_070;
 /// Time for which new connections arrive after SIGTERM.
 const NEW_CONN_TIME: Duration = Duration::from_millis(300);
+/// A softswitch that stops does not hang later than this before SIGKILL.
+const HANG_MARGIN: Duration = Duration::from_millis(150);
 /// Time from the end of a process to its next start.
 const RESTART_DELAY: Duration = Duration::from_millis(100);
 /// Interval between two looks at the memory and descriptors of the processes.
@@ -225,8 +227,13 @@
             }
             Fault::Kill(_) => {}
             Fault::Hang(softswitch, duration) => {
-                self.softswitches[softswitch].signal("-STOP");
-                self.after(ms(duration), Task::Continue(softswitch));
+                // A process that hangs until SIGKILL cannot answer what it has taken.
+                let kill_at = self.softswitches[softswitch].kill_time(self.plan.longest_deadline());
+                let end = Instant::now() + ms(duration) + HANG_MARGIN;
+                if kill_at.is_none_or(|kill_at| end < kill_at) {
+                    self.softswitches[softswitch].signal("-STOP");
+                    self.after(ms(duration), Task::Continue(softswitch));
+                }
             }
             Fault::Silent(exchange, duration) => {
                 self.exchanges[exchange - 1].set_mode(Mode::Silent);
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -545,6 +545,22 @@
     assert!(harness.effects.contains(&closed), "nothing can arrive on it just before the kill");
 }
 
+/// Guards against callers that go on sending, until the kill, on the connection on which they were refused.
+#[test]
+fn after_the_shutdown_deadline_a_connection_is_closed_as_soon_as_its_set_up_is_refused() {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 3_000);
+    harness.answer(1, 1);
+    harness.handle(Input::Stop);
+    harness.advance(3_620);
+    harness.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    harness.effects.clear();
+    let setup = harness.new_setup(1, 3_000);
+    harness.handle(Input::SetUp { caller_conn: 8, call: call_uid(2), setup });
+    assert!(matches!(harness.caller_messages(2)[..], [CallerMessage::Refused { .. }]));
+    assert!(harness.effects.contains(&Effect::CloseCallerConnIfIdle { caller_conn: 8 }));
+}
+
 /// Guards against the same for set-ups that were open at the request to stop, in a class with a deadline over 3 s, and
 /// after a reload with shorter deadlines.
 #[test]
