Keep a class width below 1 from ending the process when a set-up finds no circuit

Callers saw: with a class width below 1, which the settings allow, the process panicked with the first set-up that found no circuit, and every call of it was cut.

Cause: the free circuits were clamped to 0 and width - 1, and clamp panics where the maximum is below the minimum.

The new property test draws every number of the settings and every figure of calls, exchanges and peers from extremes; it failed before with exactly this panic. Now the maximum is at least 0.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -574,7 +574,8 @@
             && let Some(exchange) = self.exchanges.get_mut(&at)
         {
             // The group had fewer free circuits than the call takes.
-            exchange.free_circuits = Some(exchange.free_circuits.unwrap_or(0.0).clamp(0.0, call.width - 1.0));
+            let max_free = (call.width - 1.0).max(0.0);
+            exchange.free_circuits = Some(exchange.free_circuits.unwrap_or(0.0).clamp(0.0, max_free));
         }
         if let (Reason::ProcessorFull(wait), Some(exchange)) = (reason, self.exchanges.get_mut(&at)) {
             exchange.delay = exchange
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -467,3 +467,128 @@
         })
         .unwrap();
 }
+
+/// Values of a setting that a configuration accepts: any number from 0 on.
+fn setting() -> impl Strategy<Value = f64> {
+    prop::sample::select(vec![
+        0.0,
+        f64::MIN_POSITIVE,
+        1e-9,
+        0.1,
+        0.5,
+        1.0,
+        2.5,
+        40.0,
+        1e3,
+        1e9,
+        1e300,
+        f64::MAX,
+    ])
+}
+
+/// Figures of calls, exchanges and peers, which may be anything.
+fn figure() -> impl Strategy<Value = f64> {
+    let odd =
+        prop::sample::select(vec![-1.0, f64::NAN, f64::INFINITY, f64::NEG_INFINITY, f64::MIN, f64::MAX]);
+    prop_oneof![odd, setting()]
+}
+
+/// Settings with these values in place of every number.
+fn settings_of(values: &[f64], attempt_limit: u32, softswitch_count: u32) -> Settings {
+    let mut settings = settings();
+    for (class, values) in settings.classes.iter_mut().zip(values.chunks_exact(5)) {
+        (class.target_setup_ms, class.worth, class.late_worth_factor) = (values[0], values[1], values[2]);
+        (class.width, class.mean_hold_ms) = (values[3], values[4]);
+    }
+    let rest = &values[5 * settings.classes.len()..];
+    (settings.over_quota_worth_factor, settings.list_fetch_interval_ms) = (rest[0], rest[1]);
+    (settings.max_retry_after_ms, settings.drain_grace_ms, settings.release_pause_ms) =
+        (rest[2], rest[3], rest[4]);
+    (settings.cold_initial_capacity, settings.cold_period_ms) = (rest[5], rest[6]);
+    (settings.overload_factor, settings.overload_duration_ms) = (rest[7], rest[8]);
+    (settings.retransmit_ms, settings.tick_ms) = (rest[9], rest[10]);
+    Settings { attempt_limit, softswitch_count, ..settings }
+}
+
+/// Number of values that [`settings_of`] takes.
+const SETTING_COUNT: usize = 26;
+
+/// The event that these numbers stand for, about one of a few calls and exchanges.
+fn any_event(kind: u8, pick: u8, values: [f64; 3]) -> Event {
+    let [first, second, third] = values;
+    let (call, exchange) = (u32::from(pick % 6), exchange_id(u32::from(pick % 5)));
+    let outcomes = [
+        (Outcome::Congested, Reason::NoCircuit),
+        (Outcome::Congested, Reason::CrankBack),
+        (Outcome::Congested, Reason::ProcessorFull(third)),
+        (Outcome::Busy, Reason::UserBusy),
+        (Outcome::NoConnection, Reason::Unspecified),
+        (Outcome::TimedOut, Reason::Unspecified),
+    ];
+    let (outcome, reason) = outcomes[usize::from(pick) % outcomes.len()];
+    match kind % 7 {
+        0 | 1 => Event::Call(NewCall {
+            call,
+            class: usize::from(pick % 4),
+            tenant: 0,
+            width: first,
+            dest: u32::from(pick % 5),
+            called_number: u64::from(pick % 3),
+            remaining_ms: second,
+            transit_from: (kind % 3 == 0).then_some(u32::from(pick % 5)),
+            advised_route: None,
+            redial: false,
+            was_cut: false,
+        }),
+        2 | 3 => Event::AttemptEnded {
+            call,
+            attempt: u32::from(kind % 3),
+            exchange,
+            outcome,
+            reason,
+            elapsed_ms: first,
+            call_closed: false,
+            report: Some(vec![second, third]),
+        },
+        4 => Event::Answered { call, attempt: u32::from(kind % 3), exchange, elapsed_ms: first },
+        5 => Event::ProbeResult {
+            exchange,
+            answered: true,
+            elapsed_ms: first,
+            report: Some(vec![first, second, third]),
+        },
+        _ => Event::TimerExpired { tag: if pick % 2 == 0 { 1 << 32 } else { u64::from(call) } },
+    }
+}
+
+/// Guards against panics on settings that a configuration accepts, such as a class width below 1, with any figures from
+/// callers, exchanges and peers.
+#[test]
+fn no_accepted_settings_and_no_figures_cause_a_panic() {
+    const CASES: u32 = 1_000;
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    let values = prop::collection::vec(setting(), SETTING_COUNT);
+    let event = (any::<u8>(), any::<u8>(), [figure(), figure(), figure()], setting());
+    let events = prop::collection::vec(event, 1..120);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(values, 1_u32..6, 1_u32..300, events), |(values, attempt_limit, softswitches, events)| {
+            // Settings that are refused are refused with an error.
+            let settings = settings_of(&values, attempt_limit, softswitches);
+            let Ok(mut controller) = Controller::new(settings, 1) else { return Ok(()) };
+            let (mut now, mut actions) = (START_MS, Vec::new());
+            let entries =
+                (0..5).map(|n| common::list_entry(n, Readiness::Ready, START_MS * f64::from(n % 2)));
+            let list = Event::List { kind: ListUpdateKind::Cached, entries: entries.collect() };
+            controller.handle(now, list, &mut actions);
+            for (kind, pick, figures, step) in events {
+                now += step.min(5_000.0);
+                controller.handle(now, any_event(kind, pick, figures), &mut actions);
+                let message =
+                    Event::PeerMessage { from: u32::from(pick), bytes: vec![pick; usize::from(kind)] };
+                controller.handle(now, message, &mut actions);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
