Do not learn a short delay from an attempt that its caller abandoned

Callers saw: an exchange that took 0.24 s to answer was expected to take 0 ms after some calls that their callers gave up, so calls were sent to a slow exchange that would have been shed or led elsewhere.

Cause: the reducer reported an abandoned attempt with 0 ms, and the decision module took any duration without a reply for the delay of the exchange, although such a duration is only a lower bound.

Evidence: the new test, 20 abandoned calls: expected 0 ms before, after 241 ms. Now the true duration is reported, and a duration without a reply counts only if it is longer than the expected delay.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -495,9 +495,11 @@
             exchange.replied_sent_at = exchange.replied_sent_at.max(sent);
             (exchange.last_reply_at, exchange.trials) = (now, 0);
         }
+        let common = decayed_delay(self.common_delay, now - self.common_delay_at);
+        let old = common + decayed_delay(exchange.delay - common, now - exchange.delay_at);
+        // Without a reply the delay is longer than the attempt was open: a short one says nothing.
+        let counts = counts && (replied || elapsed_ms >= old);
         if counts && elapsed_ms.is_finite() {
-            let common = decayed_delay(self.common_delay, now - self.common_delay_at);
-            let old = common + decayed_delay(exchange.delay - common, now - exchange.delay_at);
             let weight = if replied && exchange.delay_without_reply && elapsed_ms < old {
                 RECOVERY_DELAY_WEIGHT
             } else {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1035,10 +1035,7 @@
         let open =
             |call: &Call| call.caller_conn == caller_conn && !matches!(call.phase, Phase::Established { .. });
         for id in self.calls_where(open) {
-            if let Some(Phase::Attempting { exchange, .. }) = self.calls.get(&id).map(|call| call.phase) {
-                self.cancel_at_exchange(id, effects);
-                self.report_outcome(id, exchange, Outcome::Cancelled, Reason::Unspecified, true);
-            }
+            self.abandon_attempt(id, effects);
             self.end_call_with_reason(
                 id,
                 CallerMessage::Failed { busy: false },
@@ -1079,13 +1076,28 @@
     /// Removes a call that its caller has abandoned. The open attempt is cancelled, and the caller gets no message.
     fn abandon_call(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         self.record_abandoned(id);
-        if let Some(Phase::Attempting { exchange, .. }) = self.calls.get(&id).map(|call| call.phase) {
-            self.cancel_at_exchange(id, effects);
-            self.report_outcome(id, exchange, Outcome::Cancelled, Reason::Unspecified, true);
-        }
+        self.abandon_attempt(id, effects);
         self.remove_call(id, effects);
     }
 
+    /// Cancels the open attempt of a call that ends with it, and reports how long it was open.
+    fn abandon_attempt(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let Phase::Attempting { exchange, sent_at, .. } = call.phase else { return };
+        let attempt = call.attempt_count.saturating_sub(1);
+        self.cancel_at_exchange(id, effects);
+        self.controller_events.push_back(Event::AttemptEnded {
+            call: id,
+            attempt,
+            exchange,
+            outcome: Outcome::Cancelled,
+            reason: Reason::Unspecified,
+            elapsed_ms: duration_to_ms(elapsed(sent_at, self.now)),
+            call_closed: true,
+            report: None,
+        });
+    }
+
     // ---- attempts ----
 
     /// Starts an attempt if the rules allow it; otherwise the decision module is told that it was not sent.
@@ -1255,9 +1267,8 @@
         });
     }
 
-    /// Reports an outcome to the decision module without a duration (0 ms): the attempt was not sent, the call was
-    /// abandoned, its caller connection was closed, its answer was lost, or it was established and has ended. For
-    /// abandoned calls and closed caller connections the duration is 0 ms although the attempt was open for a time.
+    /// Reports an outcome to the decision module without a duration (0 ms): the attempt was not sent, its answer was lost,
+    /// or the call was established and has ended.
     fn report_outcome(
         &mut self,
         id: CallId,
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -9,6 +9,8 @@
 use engine_harness::{CALLER_CONN, EngineHarness, call_uid, list_entry};
 use swiftlb::engine::{CallerMessage, Effect, ExchangeMessage, Front, Input, SetUp};
 use swiftlb::interface::{Outcome, Readiness, Reason};
+use swiftlb::ops::{OperatorReply, OperatorRequest};
+use tinyjson::JsonValue;
 
 const FAILED: CallerMessage = CallerMessage::Failed { busy: false };
 const CUT: CallerMessage = CallerMessage::Released { cut: true };
@@ -734,3 +736,45 @@
         harness.exchange_messages(1)
     );
 }
+
+/// The set-up time that the softswitch expects of an exchange, in ms.
+fn expected_ms(harness: &mut EngineHarness, exchange: u32) -> f64 {
+    harness.effects.clear();
+    harness.handle(Input::OperatorRequest { request_id: 1, request: OperatorRequest::Fleet });
+    let json = harness.effects.iter().find_map(|effect| match effect {
+        Effect::ToOperator { reply: OperatorReply::Fleet(json), .. } => Some(json.clone()),
+        _ => None,
+    });
+    let fleet: JsonValue = json.expect("the state of the fleet").parse().expect("valid JSON");
+    let exchanges: &Vec<JsonValue> = fleet["exchanges"].get().expect("a list");
+    let number = |entry: &&JsonValue| entry["exchange"].get::<f64>() == Some(&f64::from(exchange));
+    *exchanges.iter().find(number).expect("the exchange")["expected_ms"].get().expect("a number")
+}
+
+/// Guards against an exchange that looks quicker with each call that its caller gives up.
+#[test]
+fn an_abandoned_attempt_does_not_lower_the_expected_set_up_time() {
+    const ABANDONED_CALLS: u64 = 20;
+    const OPEN_MS: u64 = 5;
+    let learned = || {
+        let mut harness = EngineHarness::new(3);
+        for call in 1..20 {
+            harness.place_call(call, 1, 3_000);
+            harness.advance(300);
+            harness.answer(call, 1);
+        }
+        harness
+    };
+    let mut harness = learned();
+    for call in 20..20 + ABANDONED_CALLS {
+        harness.place_call(call, 1, 3_000);
+        harness.advance(OPEN_MS);
+        harness.handle(Input::HangUp { caller_conn: CALLER_CONN, call: call_uid(call), cause: 16 });
+    }
+    let mut idle = learned();
+    idle.advance(ABANDONED_CALLS * OPEN_MS);
+    // The decision module's clock moves with its events.
+    idle.place_call(20, 2, 3_000);
+    let (with_calls, without) = (expected_ms(&mut harness, 1), expected_ms(&mut idle, 1));
+    assert!(without > 200.0 && with_calls >= without, "{with_calls} with abandoned calls, {without} without");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -535,7 +535,7 @@
             dest: u32::from(pick % 5),
             called_number: u64::from(pick % 3),
             remaining_ms: second,
-            transit_from: (kind % 3 == 0).then_some(u32::from(pick % 5)),
+            transit_from: kind.is_multiple_of(3).then_some(u32::from(pick % 5)),
             advised_route: None,
             redial: false,
             was_cut: false,
@@ -557,7 +557,7 @@
             elapsed_ms: first,
             report: Some(vec![first, second, third]),
         },
-        _ => Event::TimerExpired { tag: if pick % 2 == 0 { 1 << 32 } else { u64::from(call) } },
+        _ => Event::TimerExpired { tag: if pick.is_multiple_of(2) { 1 << 32 } else { u64::from(call) } },
     }
 }
 
