Remember the NEW frame of an IAX2 call for as long as its leg exists, and 5 s more

Callers saw: a datagram of a call's NEW that was delayed until after the end of a call of more than 5 s set the call up again, with nobody at the caller's end.

Cause: the frame was forgotten 5 s after it arrived, although the leg still existed, and the removal of the leg renewed only frames that were not forgotten. Evidence: the new test, a call of 10 s and its NEW once more after its end: 2 set-ups before, 1 after. A duplicate that comes more than 5 s after the end of its call is still taken for a new call: its caller may use the same call number and timestamp again.

--- a/src/iax2/mod.rs
+++ b/src/iax2/mod.rs
@@ -25,8 +25,8 @@
 
 /// Interval at which a POKE is retransmitted until its PONG arrives.
 const POKE_RETRANSMIT_INTERVAL: Duration = Duration::from_millis(150);
-/// Time after a NEW during which another one with the same call number and timestamp counts as a duplicate. It starts
-/// again when the leg is removed, if that happens within this time.
+/// Time after the removal of a caller's leg during which another NEW with the same call number and timestamp counts as a
+/// duplicate.
 const DUPLICATE_NEW_WINDOW: Duration = Duration::from_secs(5);
 /// Maximum number of calls from callers, including those whose leg is closing. It bounds memory use, since the memory
 /// of the process is limited.
@@ -245,7 +245,9 @@
                 out.datagrams.push((poke.address, poke_frame(call_number, true)));
             }
         }
-        self.recent_new_frames.retain(|_, (_, expires_at)| *expires_at > now);
+        let by_remote_call = &self.by_remote_call;
+        self.recent_new_frames
+            .retain(|remote, (_, expires_at)| *expires_at > now || by_remote_call.contains_key(remote));
     }
 
     /// Applies `action` to a leg and sends the datagrams that it produces to the peer.
--- a/tests/legs.rs
+++ b/tests/legs.rs
@@ -281,3 +281,40 @@
     pair.apply(1, |e, now, out| e.receive(now, address(0), &last.encode(), out));
     assert_eq!(pair.endpoints[1].leg_count(), 0);
 }
+
+/// Guards against a delayed duplicate of the NEW of a long call that sets the call up again after its end.
+#[test]
+fn a_late_duplicate_of_a_new_frame_does_not_set_up_a_call_again_after_its_end() {
+    let mut pair = EndpointPair::new(1, 0);
+    pair.apply(0, |e, now, out| e.connect_exchange(now, 3, address(1), Duration::from_secs(5), out));
+    assert!(pair.run_until(|p| p.count(0, |i| matches!(i, Input::ExchangeConnected { .. })) == 1));
+    let call = CallUid::from_u64(7);
+    let message = ExchangeMessage::SetUp {
+        class: "status".into(),
+        called_number: Some("1".into()),
+        remaining: Duration::from_secs(3),
+        description: None,
+    };
+    pair.apply(0, |e, now, out| e.send_to_exchange(now, 3, call, &message, out));
+    let new_frame = pair.in_transit.last().expect("the NEW frame").2.clone();
+    assert!(pair.run_until(|p| p.count(1, is_set_up) == 1));
+    let Some(Input::SetUp { call: incoming, .. }) = pair.inputs[1].iter().find(|i| is_set_up(i)).cloned()
+    else {
+        panic!("a set-up");
+    };
+    pair.apply(1, |e, now, out| {
+        e.send_to_caller(now, incoming, &CallerMessage::Answered { description: None }, out)
+    });
+    assert!(pair.run_until(|p| p.count(0, is_answered) == 1));
+    let long_after = pair.now + Duration::from_secs(10);
+    pair.run_until(|p| p.now >= long_after);
+    pair.now = pair.now.max(long_after);
+    pair.apply(1, |e, now, out| e.handle_timeout(now, out));
+    pair.apply(1, |e, now, out| {
+        e.send_to_caller(now, incoming, &CallerMessage::Released { cut: false }, out)
+    });
+    assert!(pair.run_until(|p| p.endpoints.iter().all(|e| e.leg_count() == 0)));
+    let from = address(0);
+    pair.apply(1, |e, now, out| e.receive(now, from, &new_frame, out));
+    assert_eq!(pair.count(1, is_set_up), 1);
+}
