Record the true reason for which set-ups fail with their caller connection

On-call staff saw: records and the incident report named an unreadable connection also for set-ups whose connection was closed for a call id that came twice, too many malformed messages or the end of an operator's drain.

Cause: abort_caller_conn recorded one fixed reason. It now takes the reason from its caller; three reasons are added at the end of the list, so the numbers in existing record files keep their meaning. The new test checks all four.

--- a/crates/record/src/event.rs
+++ b/crates/record/src/event.rs
@@ -289,6 +289,12 @@
     CallerStreamCorrupt,
     /// The process was about to be killed after a request to stop.
     ShuttingDown,
+    /// A set-up with the id of another call arrived on its caller connection, which was closed.
+    DuplicateCallId,
+    /// Its caller connection was closed for too many malformed messages.
+    TooManyMalformed,
+    /// Its caller connection was closed at the end of an operator's drain.
+    Draining,
 }
 
 /// Who ended an established call.
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -154,6 +154,9 @@
         FailureReason::DecisionOverdue => "failed: no decision in time".to_owned(),
         FailureReason::CallerStreamCorrupt => "failed: its connection was unreadable".to_owned(),
         FailureReason::ShuttingDown => "failed: the softswitch was shutting down".to_owned(),
+        FailureReason::DuplicateCallId => "failed: a call id came twice on its connection".to_owned(),
+        FailureReason::TooManyMalformed => "failed: its connection carried malformed messages".to_owned(),
+        FailureReason::Draining => "failed: the softswitch was being emptied".to_owned(),
     }
 }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -397,7 +397,9 @@
             Input::CallerConnected { caller_conn, front } => {
                 self.caller_connected(caller_conn, front, effects)
             }
-            Input::CallerStreamCorrupt { caller_conn } => self.abort_caller_conn(caller_conn, effects),
+            Input::CallerStreamCorrupt { caller_conn } => {
+                self.abort_caller_conn(caller_conn, FailureReason::CallerStreamCorrupt, effects)
+            }
             Input::CallerDisconnected { caller_conn } => self.caller_disconnected(caller_conn, effects),
             Input::CallerMessagesUnread { caller_conn } => {
                 // A release that was sent while the caller closed the connection would otherwise be lost.
@@ -677,7 +679,7 @@
         };
         if self.call_ids.contains_key(&uid) {
             // A message with this id could be taken for the outcome of the call that already has the id.
-            return self.abort_caller_conn(caller_conn, effects);
+            return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
         }
         let class = self.classes.iter().position(|class| class.name == setup.class);
         // Values that are invalid for the class must not reach an exchange, which would accept them as they are.
@@ -1009,7 +1011,7 @@
     /// the replies to it take up the processor.
     fn fail_malformed(&mut self, caller_conn: CallerConnId, uid: CallUid, effects: &mut Vec<Effect>) {
         if self.call_ids.contains_key(&uid) {
-            return self.abort_caller_conn(caller_conn, effects);
+            return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
         }
         effects.push(Effect::ToCaller {
             caller_conn,
@@ -1019,16 +1021,18 @@
         let Some(conn) = self.caller_conns.get_mut(&caller_conn) else { return };
         conn.malformed_count += 1;
         if conn.malformed_count >= MAX_MALFORMED_MESSAGES {
-            self.abort_caller_conn(caller_conn, effects);
+            self.abort_caller_conn(caller_conn, FailureReason::TooManyMalformed, effects);
         }
     }
 
     /// Fails the set-ups that are open on a caller connection and closes it. Established calls, and calls that arrived
     /// on other connections, are not affected.
-    ///
-    /// Every one of these set-ups is recorded with `CallerStreamCorrupt`, also if the connection is closed for a call
-    /// id that is in use, too many malformed messages or the end of `DRAIN_KEEP_TIME`.
-    fn abort_caller_conn(&mut self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
+    fn abort_caller_conn(
+        &mut self,
+        caller_conn: CallerConnId,
+        reason: FailureReason,
+        effects: &mut Vec<Effect>,
+    ) {
         if self.caller_conns.get(&caller_conn).is_none_or(|conn| conn.front != Front::JsonLines) {
             return;
         }
@@ -1036,12 +1040,7 @@
             |call: &Call| call.caller_conn == caller_conn && !matches!(call.phase, Phase::Established { .. });
         for id in self.calls_where(open) {
             self.abandon_attempt(id, effects);
-            self.end_call_with_reason(
-                id,
-                CallerMessage::Failed { busy: false },
-                Some(FailureReason::CallerStreamCorrupt),
-                effects,
-            );
+            self.end_call_with_reason(id, CallerMessage::Failed { busy: false }, Some(reason), effects);
         }
         self.close_caller_conn(caller_conn, effects);
     }
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -246,7 +246,7 @@
             if !with_open_setups.contains(&caller_conn) && kept != Some(caller_conn) {
                 self.close_draining_conn(caller_conn, effects);
             } else if must_abort {
-                self.abort_caller_conn(caller_conn, effects);
+                self.abort_caller_conn(caller_conn, FailureReason::Draining, effects);
             }
         }
     }
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -147,6 +147,34 @@
     );
 }
 
+/// Guards against a record that names an unreadable connection for every connection that is closed with its set-ups.
+#[test]
+fn set_ups_that_fail_with_their_connection_are_recorded_with_the_reason_of_its_end() {
+    let failure_of_call_1 = |steps: &[&dyn Fn(&mut EngineHarness)]| {
+        let mut harness = recording_harness(3);
+        steps.iter().for_each(|step| step(&mut harness));
+        match events_of_call(&harness, 1).last() {
+            Some(Event::Failed { reason, .. }) => *reason,
+            last => panic!("{last:?}"),
+        }
+    };
+    let place = |h: &mut EngineHarness| h.place_call(1, 1, 3_000);
+    let corrupt = |h: &mut EngineHarness| h.handle(Input::CallerStreamCorrupt { caller_conn: CALLER_CONN });
+    assert_eq!(failure_of_call_1(&[&place, &corrupt]), FailureReason::CallerStreamCorrupt);
+    assert_eq!(failure_of_call_1(&[&place, &place]), FailureReason::DuplicateCallId);
+    let malformed = |h: &mut EngineHarness| {
+        h.handle(Input::MalformedSetUp { caller_conn: CALLER_CONN, call: call_uid(9) })
+    };
+    let steps: [&dyn Fn(&mut EngineHarness); 5] = [&place, &malformed, &malformed, &malformed, &malformed];
+    assert_eq!(failure_of_call_1(&steps), FailureReason::TooManyMalformed);
+    let begin_drain = |h: &mut EngineHarness| {
+        h.handle(Input::OperatorRequest { request_id: 1, request: OperatorRequest::BeginDrain });
+        h.advance(2_000);
+    };
+    let wait = |h: &mut EngineHarness| h.advance(1_800);
+    assert_eq!(failure_of_call_1(&[&begin_drain, &place, &wait]), FailureReason::Draining);
+}
+
 #[test]
 fn groups_connections_drains_and_expected_delays_are_recorded_as_they_change() {
     let mut harness = recording_harness(3);
