Keep the record files of softswitches apart whose names differ in special characters

On-call staff saw: of two softswitches named a/b and a:b, which share a directory, retention kept the latest file of one only.

Cause: file names had _ in place of every special character, so both had one name. Special characters are percent-encoded now. The new test failed before. Names of letters, digits, -, _ and . are as before, and existing files are still found.

--- a/crates/record/src/retention.rs
+++ b/crates/record/src/retention.rs
@@ -8,11 +8,18 @@
 
 const EXTENSION: &str = ".swr";
 
-/// Name of a record file: softswitch, start of the run in microseconds, number of the file. Characters of the
-/// softswitch's name that a file system might reject become `_`. The names of one softswitch sort by run and number.
+/// Name of a record file: softswitch, start of the run in microseconds, number of the file. Bytes of the softswitch's name
+/// that a file system might reject are percent-encoded, so different names stay different. The names of one softswitch
+/// sort by run and number.
 pub fn file_name(header: &FileHeader) -> String {
-    let sanitize = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '_' };
-    let name: String = header.softswitch.chars().map(sanitize).collect();
+    let mut name = String::new();
+    for byte in header.softswitch.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-_.".contains(&byte) {
+            name.push(char::from(byte));
+        } else {
+            name.push_str(&format!("%{byte:02x}"));
+        }
+    }
     format!("{name}-{:016}-{:06}{EXTENSION}", header.run_started_us, header.file_number)
 }
 
@@ -25,7 +32,18 @@
         return None;
     }
     let (run_started_us, file_number) = (run.parse().ok()?, file.parse().ok()?);
-    Some(FileHeader { softswitch: softswitch.to_owned(), home: None, run_started_us, file_number })
+    Some(FileHeader { softswitch: percent_decoded(softswitch)?, home: None, run_started_us, file_number })
+}
+
+/// The name that was percent-encoded; `None` if it cannot be decoded.
+fn percent_decoded(name: &str) -> Option<String> {
+    let mut parts = name.split('%');
+    let mut decoded = parts.next()?.as_bytes().to_vec();
+    for part in parts {
+        decoded.push(u8::from_str_radix(part.get(..2)?, 16).ok()?);
+        decoded.extend_from_slice(&part.as_bytes()[2..]);
+    }
+    String::from_utf8(decoded).ok()
 }
 
 /// Limits for record files.
--- a/crates/record/tests/recorder.rs
+++ b/crates/record/tests/recorder.rs
@@ -222,6 +222,21 @@
     }
 }
 
+/// Guards against softswitches whose names differ only in special characters and that share one retention.
+#[test]
+fn record_files_of_different_softswitches_have_different_names_that_can_be_parsed() {
+    let names = ["a/b", "a:b", "a_b", "a%b", "a b", "Zürich-1", "%2f"];
+    let file_names: std::collections::BTreeSet<String> =
+        names.iter().map(|name| file_name(&FileHeader::first_of_run(name, 0, 5))).collect();
+    assert_eq!(file_names.len(), names.len(), "{file_names:?}");
+    for name in names {
+        let file_name = file_name(&FileHeader::first_of_run(name, 0, 5));
+        assert_eq!(parse_file_name(&file_name).expect("the name of a record file").softswitch, name);
+    }
+    let files: Vec<(String, u64)> = file_names.into_iter().map(|name| (name, 10)).collect();
+    assert!(files_to_remove(&files, 0).is_empty(), "the latest file of each softswitch stays");
+}
+
 #[test]
 fn unreadable_files_are_reported_and_the_others_are_used() {
     let directory = temp_directory("archive");
