Show the age of a silent softswitch with its unit on the console

On-call staff saw: an age of 4321 ms shown as 4321m, which reads as minutes.

Cause: the column has 5 characters, and durations below 10 s take 6. An age from 1 s to 10 s is now shown in tenths of a second. The new test failed before.

--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -24,6 +24,16 @@
     }
 }
 
+/// A duration of at most 5 characters: like [`format_duration`], but in tenths of a second from 1 s to 10 s.
+fn format_age(age: Duration) -> String {
+    let ms = age.as_millis();
+    if (1_000..10_000).contains(&ms) {
+        format!("{}.{}s", ms / 1_000, ms % 1_000 / 100)
+    } else {
+        format_duration(age)
+    }
+}
+
 fn format_optional_duration(duration: Option<Duration>) -> String {
     duration.map_or("-".to_owned(), format_duration)
 }
@@ -98,7 +108,7 @@
         Row::new(vec![
             Cell::from(row.name.clone()),
             Cell::from(state),
-            right_aligned(format_optional_duration(row.age), 5),
+            right_aligned(row.age.map_or("-".to_owned(), format_age), 5),
             right_aligned(row.calls.0.to_string(), 5),
             right_aligned(row.calls.1.to_string(), 5),
             right_aligned(rate(|r| r.0), 5),
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -103,6 +103,15 @@
     assert_eq!(model.softswitches()[1].rates, None);
 }
 
+/// Guards against an age whose unit is cut off: `4321ms` shown as `4321m`, which reads as minutes.
+#[test]
+fn an_age_of_seconds_is_shown_with_its_unit() {
+    let mut model = sample_model();
+    model.update(1, Duration::from_millis(6_321), Err("timed out".to_owned()));
+    let text = view::render_text(&model, 80, 24);
+    assert!(text.contains(" 4.3s ") && !text.contains("4321m"), "{text}");
+}
+
 #[test]
 fn nodes_are_sorted_and_filtered_and_show_the_worst_state_of_any_softswitch() {
     let mut model = sample_model();
