Let two tests use a refused address that the system never assigns

The tests of the console and of the terminal bound port 0, released the port and expected that connections to it are refused. The system may assign that port to another process meanwhile.

--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -224,7 +224,8 @@
     assert_eq!(fetch_reply("HTTP/1.1 503 No\r\n\r\n"), Err("status 503".to_owned()));
     assert_eq!(fetch_reply("SSH-2.0"), Err("no HTTP".to_owned()));
     assert!(fetch_reply("HTTP/1.1 200 OK\r\n\r\n{}").is_err_and(|error| error.starts_with("refusals: ")));
-    let closed = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    // Outside the range from which the system assigns ports: nothing else can get it.
+    let closed = "127.0.0.1:9".parse().expect("an address");
     assert_eq!(fetch_snapshot(closed, TIMEOUT), Err("connection refused".to_owned()));
 }
 
--- a/crates/ctl/tests/terminal.rs
+++ b/crates/ctl/tests/terminal.rs
@@ -131,11 +131,9 @@
 
 #[test]
 fn the_console_handles_keys_and_resizes_and_restores_the_terminal() {
-    let (address, silent_address) = (
-        start_operator_server(5),
-        TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port"),
-    );
-    let mut terminal = Terminal::start(&["console", &address, &silent_address.to_string()]);
+    // Outside the range from which the system assigns ports: nothing else can get it.
+    let (address, silent_address) = (start_operator_server(5), "127.0.0.1:9");
+    let mut terminal = Terminal::start(&["console", &address, silent_address]);
     let screen = terminal.wait_for("shed 100%");
     assert!(screen.starts_with("swiftlb  1 softswitches live, 1 silent"), "{screen}");
     let screen = terminal.wait_for("DOWN");
