Split the handling of an attempt's end in the decision module into short functions

end_attempt had 95 lines and seven parameters. The end of an attempt is one type now, and forgetting the attempt, learning from its reason and from a crank-back, continuing the call and the release pause are a function each.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -155,6 +155,19 @@
     Established,
 }
 
+/// The end of an attempt that did not establish its call.
+#[derive(Clone, Copy, Debug)]
+struct AttemptEnd {
+    call: CallId,
+    exchange: ExchangeId,
+    outcome: Outcome,
+    reason: Reason,
+    /// Time since the attempt was sent.
+    elapsed_ms: f64,
+    /// Whether the call has ended with it.
+    call_closed: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Call {
     /// Index into `Settings::classes`.
@@ -395,7 +408,8 @@
             } => {
                 self.apply_load_report(exchange, report.as_ref());
                 if self.calls.get(&call).is_none_or(|state| state.attempts == attempt + 1) {
-                    self.end_attempt(call, exchange, outcome, reason, elapsed_ms, call_closed, actions);
+                    let end = AttemptEnd { call, exchange, outcome, reason, elapsed_ms, call_closed };
+                    self.end_attempt(&end, actions);
                 }
             }
             Event::Abandoned { call } => self.drop_call(call),
@@ -516,106 +530,121 @@
     }
 
     /// Learns from the end of an attempt and decides how its call continues.
-    #[allow(clippy::too_many_arguments)]
-    fn end_attempt(
-        &mut self,
-        id: CallId,
-        at: ExchangeId,
-        outcome: Outcome,
-        reason: Reason,
-        elapsed_ms: f64,
-        call_closed: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let not_set_up = matches!(outcome, Outcome::Congested | Outcome::NoConnection | Outcome::NotSent);
+    fn end_attempt(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
+        self.forget_open_attempt(end);
+        let AttemptEnd { call: id, exchange: at, outcome, .. } = *end;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if end.call_closed {
+            return self.drop_call(id);
+        }
+        if call.phase != (Phase::Attempting { to: at }) {
+            return;
+        }
+        call.phase = Phase::Deciding;
+        call.may_be_set_up |=
+            !matches!(outcome, Outcome::Congested | Outcome::NoConnection | Outcome::NotSent);
+        // The call may be sent to the same exchange again. After a reset mostly the connection failed: an
+        // exchange that has died refuses the next attempt, and any other can be reached as before. After a
+        // signalling fault the next attempt may succeed (see `continue_call`).
+        if matches!(outcome, Outcome::Reset | Outcome::Cancelled | Outcome::Busy) {
+            call.excluded.remove(&at);
+        }
+        let call = call.clone();
+        self.learn_from_reason(end, &call);
+        self.continue_call(end, &call, actions);
+    }
+
+    /// Removes an attempt from the open ones of its exchange, and learns from its duration if that shows the
+    /// delay of the exchange.
+    fn forget_open_attempt(&mut self, end: &AttemptEnd) {
+        let AttemptEnd { call: id, exchange: at, outcome, .. } = *end;
         let was_open = self.exchanges.get(&at).is_some_and(|e| e.open_attempts.contains_key(&id));
         // A connection that is refused takes no time, and one that breaks does so at any time: neither shows
         // the delay of a processor.
         if was_open && !matches!(outcome, Outcome::NotSent | Outcome::NoConnection | Outcome::Reset) {
-            self.close_attempt(
-                id,
-                at,
-                elapsed_ms,
-                !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled),
-            );
+            let replied = !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+            self.close_attempt(id, at, end.elapsed_ms, replied);
         } else if let Some(exchange) = self.exchanges.get_mut(&at) {
             exchange.open_attempts.remove(&id);
         }
-        let number = self.exchanges.get(&at).map_or(Number::MAX, |e| e.number);
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        if call_closed {
-            return self.drop_call(id);
-        }
-        let Phase::Attempting { to } = call.phase else { return };
-        if to != at {
-            return;
-        }
-        call.phase = Phase::Deciding;
-        call.may_be_set_up |= !not_set_up;
-        let (dest, called_number) = (call.dest, call.called_number);
-        if reason == Reason::CrankBack {
-            if let Some(tandem) = self.exchanges.get_mut(&at) {
-                tandem.cranked_back += 1.0;
-            }
-            let leg = self.legs.entry((number, dest)).or_default();
-            leg.full_until = self.now + LEG_FULL_MS;
-            if !leg.has_carried && leg.reported.is_none() {
-                leg.absent_until = self.now + LEG_ABSENT_MS;
-            }
+    }
+
+    /// Learns from the reason of the end of an attempt what it says about groups, legs and processors.
+    fn learn_from_reason(&mut self, end: &AttemptEnd, call: &Call) {
+        let number = self.exchanges.get(&end.exchange).map_or(Number::MAX, |e| e.number);
+        if end.reason == Reason::CrankBack {
+            self.learn_from_crank_back(end.exchange, number, call.dest);
         }
+        let Some(exchange) = self.exchanges.get_mut(&end.exchange) else { return };
         // The circuits were subtracted at the send and are given back: nothing was sent, and no load report
         // corrects the count, because reports arrive on the connection that failed. Without this the group
         // would look full after some calls, fewer calls would be sent there, and the usual send rate, which
         // sets the cold credit, would be too low.
-        if outcome == Outcome::NoConnection
-            && let Some(free) = self.exchanges.get_mut(&at).and_then(|e| e.free_circuits.as_mut())
+        if end.outcome == Outcome::NoConnection
+            && let Some(free) = exchange.free_circuits.as_mut()
         {
             *free += call.width;
         }
-        if reason == Reason::NoCircuit
-            && let Some(exchange) = self.exchanges.get_mut(&at)
-        {
-            // The group had fewer free circuits than the call takes.
-            let max_free = (call.width - 1.0).max(0.0);
-            exchange.free_circuits = Some(exchange.free_circuits.unwrap_or(0.0).clamp(0.0, max_free));
+        match end.reason {
+            Reason::NoCircuit => {
+                // The group had fewer free circuits than the call takes.
+                let max_free = (call.width - 1.0).max(0.0);
+                exchange.free_circuits = Some(exchange.free_circuits.unwrap_or(0.0).clamp(0.0, max_free));
+            }
+            Reason::ProcessorFull(wait) => {
+                let target_setup_ms = self.settings.classes[call.class].target_setup_ms;
+                let least = FULL_PROCESSOR_DELAY_TARGETS * target_setup_ms;
+                exchange.delay = exchange.delay.max(wait).max(least);
+                exchange.delay_at = self.now;
+            }
+            _ => {}
         }
-        if let (Reason::ProcessorFull(wait), Some(exchange)) = (reason, self.exchanges.get_mut(&at)) {
-            exchange.delay = exchange
-                .delay
-                .max(wait)
-                .max(FULL_PROCESSOR_DELAY_TARGETS * self.settings.classes[call.class].target_setup_ms);
-            exchange.delay_at = self.now;
+    }
+
+    /// Learns that a tandem has turned a call back: its leg to the destination is full, or there is none.
+    fn learn_from_crank_back(&mut self, tandem: ExchangeId, number: Number, dest: Number) {
+        if let Some(tandem) = self.exchanges.get_mut(&tandem) {
+            tandem.cranked_back += 1.0;
         }
-        // The call may be sent to the same exchange again. After a reset mostly the connection failed: an
-        // exchange that has died refuses the next attempt, and any other can be reached as before. After a
-        // signalling fault the next attempt may succeed (see below).
-        if matches!(outcome, Outcome::Reset | Outcome::Cancelled | Outcome::Busy) {
-            call.excluded.remove(&at);
+        let leg = self.legs.entry((number, dest)).or_default();
+        leg.full_until = self.now + LEG_FULL_MS;
+        if !leg.has_carried && leg.reported.is_none() {
+            leg.absent_until = self.now + LEG_ABSENT_MS;
         }
-        match outcome {
+    }
+
+    /// Decides how a call continues after the end of an attempt that did not establish it.
+    fn continue_call(&mut self, end: &AttemptEnd, call: &Call, actions: &mut Vec<Action>) {
+        match end.outcome {
             Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
-                let until = self.now + self.settings.release_pause_ms;
-                // A call in transit has no second route here. The exchange that it came from has one and must
-                // learn of the failure at once.
-                if call.in_transit || until + MIN_REMAINING_MS > call.deadline {
-                    return self.end_call(id, actions);
-                }
-                call.phase = Phase::Releasing { until };
-                actions
-                    .push(Action::SetTimer { delay_ms: self.settings.release_pause_ms, tag: u64::from(id) });
+                self.pause_for_release(end.call, call, actions);
             }
             // Another attempt would find all lines of the number busy again, so the call ends. `Busy` for
             // another reason is a signalling fault, which the next attempt may not meet (one exchange replied
             // to four of five set-ups with one): the call is decided again, and ends there if its class is
             // not idempotent.
-            Outcome::Busy if reason == Reason::UserBusy => {
-                if called_number != 0 {
-                    self.gapped_until.insert(called_number, self.now + CALL_GAP_MS);
+            Outcome::Busy if end.reason == Reason::UserBusy => {
+                if call.called_number != 0 {
+                    self.gapped_until.insert(call.called_number, self.now + CALL_GAP_MS);
                 }
-                self.end_call(id, actions);
+                self.end_call(end.call, actions);
             }
-            _ => self.decide(id, actions),
+            _ => self.decide(end.call, actions),
+        }
+    }
+
+    /// Begins the release pause of a call, or ends the call if there is no time for another attempt after it.
+    fn pause_for_release(&mut self, id: CallId, call: &Call, actions: &mut Vec<Action>) {
+        let until = self.now + self.settings.release_pause_ms;
+        // A call in transit has no second route here. The exchange that it came from has one and must
+        // learn of the failure at once.
+        if call.in_transit || until + MIN_REMAINING_MS > call.deadline {
+            return self.end_call(id, actions);
+        }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.phase = Phase::Releasing { until };
         }
+        actions.push(Action::SetTimer { delay_ms: self.settings.release_pause_ms, tag: u64::from(id) });
     }
 
     /// Decides again on a call whose release pause is over.
