Keep one caller connection for releases until 20 ms before the kill

Callers saw: the end of a call that came in the last 0.1 s before SIGKILL found no caller connection, and the call was left standing where its exchange did not repeat the end to the next process, as one that leaves the list (rule lost).

Cause: after the shutdown deadline, 0.1 s before the kill, every caller connection was closed. The new test in virtual time failed before.

Now one connection is kept while calls are established, as in an operator's drain; set-ups on it are refused at once. It is closed 20 ms before the kill, so that what crosses the close is still refused on a new one.

--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -40,6 +40,11 @@
 /// 0.6 s, keep their whole waiting time.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
 
+/// Interval between two looks at the caller connections after the shutdown deadline.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after the shutdown deadline for which one connection is kept for releases. The rest until the kill covers what
+/// still crosses its close.
+const RELEASE_CONN_KEEP_TIME: Duration = Duration::from_millis(80);
 /// Time after the shutdown deadline from which a connection is closed although a line has begun to arrive on it, or although
 /// it was just opened. The rest until the kill covers what still crosses the close.
 const BEGUN_LINE_GRACE: Duration = Duration::from_millis(40);
@@ -126,31 +131,38 @@
     /// Once the shutdown deadline is over, ends the open set-ups and closes the caller connections: a set-up that arrives
     /// on one of them just before the kill would have no outcome.
     pub(super) fn enforce_shutdown_deadline(&mut self, effects: &mut Vec<Effect>) {
-        if !self.shutdown_deadline_is_over() {
+        let Some(shutdown) = self.shutdown_deadline.filter(|shutdown| shutdown.answer_by <= self.now) else {
             return;
-        }
+        };
         let open = |call: &Call| !matches!(call.phase, Phase::Established { .. });
         for id in self.calls_where(open) {
             self.end_at_shutdown(id, effects);
         }
-        self.set_timer(DRAIN_CHECK_INTERVAL, Timer::ShutdownDeadline);
-        if self
-            .shutdown_deadline
-            .is_some_and(|shutdown| elapsed(shutdown.answer_by, self.now) >= BEGUN_LINE_GRACE)
-        {
-            self.close_all_conns(effects);
-        } else {
+        self.set_timer(SHUTDOWN_CHECK_INTERVAL, Timer::ShutdownDeadline);
+        if elapsed(shutdown.answer_by, self.now) < BEGUN_LINE_GRACE {
             self.close_unused_conns(effects);
+        } else {
+            self.close_all_conns(effects);
         }
     }
 
-    /// Closes all caller connections; no set-up is open. What has begun to arrive will not be complete in time.
+    /// Closes the caller connections; no set-up is open. What has begun to arrive will not be complete in time.
     fn close_all_conns(&self, effects: &mut Vec<Effect>) {
-        let json_lines = self.caller_conns.iter().filter(|(_, conn)| conn.front == Front::JsonLines);
-        effects.extend(
-            json_lines
-                .map(|(caller_conn, _)| Effect::CloseCallerConnUnlessUnread { caller_conn: *caller_conn }),
-        );
+        let kept = self.conn_kept_in_shutdown();
+        let closed = self
+            .caller_conns
+            .iter()
+            .filter(|(id, conn)| conn.front == Front::JsonLines && kept != Some(**id))
+            .map(|(id, _)| Effect::CloseCallerConnUnlessUnread { caller_conn: *id });
+        effects.extend(closed);
+    }
+
+    /// The connection that is kept after the shutdown deadline, until shortly before the kill, for the releases of
+    /// established calls.
+    fn conn_kept_in_shutdown(&self) -> Option<CallerConnId> {
+        let shutdown = self.shutdown_deadline?;
+        let is_kept = elapsed(shutdown.answer_by, self.now) < RELEASE_CONN_KEEP_TIME;
+        if is_kept && !self.stopping_for_successor { self.conn_kept_for_releases() } else { None }
     }
 
     /// Ends an open set-up: refused if it was never sent to an exchange, otherwise failed.
@@ -169,7 +181,11 @@
     /// Closes the caller connections without an open set-up, as far as the drain or the shutdown requires it.
     fn close_unused_conns(&mut self, effects: &mut Vec<Effect>) {
         let with_open_setups = self.conns_with_open_setups();
-        let unused = self.caller_conns.keys().filter(|caller_conn| !with_open_setups.contains(caller_conn));
+        let kept = self.conn_kept_in_shutdown();
+        let unused = self
+            .caller_conns
+            .keys()
+            .filter(|caller_conn| !with_open_setups.contains(caller_conn) && kept != Some(**caller_conn));
         for caller_conn in unused {
             self.close_draining_conn(*caller_conn, effects);
         }
@@ -297,7 +313,8 @@
                 elapsed(start, self.now) < DRAIN_KEEP_TIME
                     && self.conn_kept_for_releases() == Some(caller_conn)
             }
-            None if self.stopping_for_successor || self.shutdown_deadline_is_over() => false,
+            None if self.stopping_for_successor => false,
+            None if self.shutdown_deadline_is_over() => self.conn_kept_in_shutdown() == Some(caller_conn),
             None => return,
         };
         if !kept && !self.conns_with_open_setups().contains(&caller_conn) {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -563,6 +563,33 @@
     assert!(harness.effects.contains(&Effect::CloseCallerConnIfIdle { caller_conn: 8 }));
 }
 
+/// Guards against ends of calls that find no caller connection in the last 0.1 s before the kill.
+#[test]
+fn one_connection_is_kept_for_releases_until_shortly_before_the_kill() {
+    let mut harness = EngineHarness::new(3);
+    for call in [1, 2] {
+        harness.place_call(call, 1, 3_000);
+        harness.answer(call, 1);
+    }
+    harness.handle(Input::Stop);
+    harness.advance(3_000);
+    harness.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    harness.advance(670);
+    let closed = |harness: &EngineHarness, conn: u64| {
+        harness.effects.iter().any(|effect| {
+            matches!(effect, Effect::CloseCallerConnIfIdle { caller_conn }
+                | Effect::CloseCallerConnUnlessUnread { caller_conn } if *caller_conn == conn)
+        })
+    };
+    assert!(closed(&harness, 8) && !closed(&harness, CALLER_CONN));
+    harness.end_call(1, 1, Outcome::Completed, Reason::Unspecified);
+    assert_eq!(harness.caller_messages(1).last(), Some(&CallerMessage::Released { cut: false }));
+    harness.place_call(3, 1, 3_000);
+    assert!(matches!(harness.caller_messages(3)[..], [CallerMessage::Refused { .. }]));
+    harness.advance(15);
+    assert!(closed(&harness, CALLER_CONN), "before the kill at 3.7 s");
+}
+
 /// Guards against the same for set-ups that were open at the request to stop, in a class with a deadline over 3 s, and
 /// after a reload with shorter deadlines.
 #[test]
