Close a connection only when no set-up from it waits for the reducer

Callers saw: a set-up was refused 15 ms before the kill, as the softswitch's log says, but its caller got no answer before its connection closed (rule lost).

Cause: due timers ran in the same step of the reducer as the next input, and their closes were performed first. A set-up that was that input, or the next one in the queue, was already read, so the driver found nothing unread, closed the connection and dropped the outcome. The operator's drain and the stop for a successor close in the same way.

Now due timers have a step of their own while the input is still queued, and a connection with a queued set-up is not closed. A test on a real process with SIGSTOP did not fail before, as the interrupted poll runs the timers first, so none is added.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -184,6 +184,11 @@
         self.recorder = Some((recorder, clock));
     }
 
+    /// Whether an input for the reducer waits.
+    pub(super) fn has_input(&self) -> bool {
+        !self.inputs.is_empty()
+    }
+
     /// Takes the next input for the reducer.
     pub(super) fn next_input(&mut self) -> Option<Input> {
         self.inputs.pop_front()
@@ -673,11 +678,13 @@
         }
     }
 
-    /// Reads a caller connection; whether nothing was received that the reducer has to handle first.
+    /// Reads a caller connection; whether no set-up from it waits that the reducer has to handle first.
     fn has_no_unread_line(&mut self, caller_conn: CallerConnId) -> bool {
         let queued = self.inputs.len();
         self.read_caller(caller_conn);
-        self.inputs.len() == queued
+        let is_from_it =
+            |input: &Input| matches!(input, Input::SetUp { caller_conn: from, .. } if *from == caller_conn);
+        self.inputs.len() == queued && !self.inputs.iter().any(is_from_it)
     }
 
     fn close_caller_conn(&mut self, caller_conn: CallerConnId) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -313,11 +313,16 @@
             driver.perform(effect);
         }
         let mut run_reducer = |driver: &mut Driver, engine: &mut Engine| {
-            while let Some(input) = driver.next_input() {
-                engine.handle(SystemTime::now(), input, &mut effects);
-                for effect in effects.drain(..) {
-                    driver.perform(effect);
+            while driver.has_input() {
+                let now = SystemTime::now();
+                // Timers go first, while the driver still sees the input: it closes no connection that the input is from.
+                if engine.next_wake().is_some_and(|at| at <= now) {
+                    engine.handle(now, Input::Wake, &mut effects);
+                    effects.drain(..).for_each(|effect| driver.perform(effect));
                 }
+                let Some(input) = driver.next_input() else { break };
+                engine.handle(now, input, &mut effects);
+                effects.drain(..).for_each(|effect| driver.perform(effect));
             }
             engine.next_wake()
         };
