--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -7,8 +7,9 @@
 use swiftlb_record::{DrainSource, Event as RecordEvent, FailureReason};
 
 use super::{
-    Call, CallId, CallerConn, CallerConnId, CallerMessage, Effect, Engine, Front, Phase, RELEASE_EXPIRY,
-    Timer, elapsed,
+    Call, CallId, CallerConnId, CallerMessage, Effect, Engine, Front, Phase, Timer,
+    callers::{CallerConn, RELEASE_EXPIRY},
+    elapsed,
 };
 
 /// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
