--- a/crates/record/src/event.rs
+++ b/crates/record/src/event.rs
@@ -306,6 +306,8 @@
     Exchange,
     /// The exchange is gone or unreachable.
     ExchangeLost,
+    /// The softswitch stops, and the call ends with it.
+    Shutdown,
 }
 
 /// Whether an exchange accepts calls, according to the list.
--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -19,7 +19,7 @@
 use swiftlb_record::{ConnectionChange, ReleasedBy};
 
 /// Q.850 cause "normal call clearing".
-const CAUSE_NORMAL_CLEARING: u8 = 16;
+pub(super) const CAUSE_NORMAL_CLEARING: u8 = 16;
 /// Interval between two checks of the connection to an exchange.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// A connection on which nothing was received for this long since a set-up was sent on it counts as dead, however
@@ -177,7 +177,10 @@
 
     fn open_conn(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) -> Option<ExchangeConnId> {
         let (now, exchange) = (self.now, self.exchanges.get(&id)?);
-        if exchange.readiness == Readiness::Removed || Some(exchange.number) == self.home {
+        if exchange.readiness == Readiness::Removed
+            || Some(exchange.number) == self.home
+            || self.leaves_exchange_to_next_process(id)
+        {
             return None;
         }
         self.last_exchange_conn += 1;
@@ -364,14 +367,18 @@
         }
     }
 
-    /// Periodic check whether the open connection to an exchange may be dead.
+    /// Periodic check whether the open connection to an exchange may be dead, and whether one is missing.
     pub(super) fn check_exchange(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
         let Some(exchange) = self.exchanges.get_mut(&id) else { return };
         if exchange.readiness == Readiness::Removed {
             exchange.check_scheduled = false;
             return;
         }
+        let waits_for_reconnect = exchange.reconnect_scheduled;
         self.set_timer(CHECK_INTERVAL, Timer::CheckExchange(id));
+        if !waits_for_reconnect {
+            self.connect(id, effects);
+        }
         self.replace_silent_conn(id, effects);
     }
 
@@ -423,8 +430,15 @@
         self.schedule_reconnect(id);
     }
 
+    /// Whether established calls belong to the open connection to an exchange and end with it.
+    pub(super) fn conn_carries_calls(&self, id: ExchangeId) -> bool {
+        let conn = self.exchanges.get(&id).map(|exchange| exchange.conn);
+        let Some(ConnState::Up(exchange_conn)) = conn else { return false };
+        self.exchange_conns.get(&exchange_conn).is_some_and(|conn| conn.carries_calls)
+    }
+
     /// Closes all connections to an exchange and ends the attempts that were sent on them or wait for one.
-    fn close_exchange_conns(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
+    pub(super) fn close_exchange_conns(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
         let Some(exchange) = self.exchanges.get_mut(&id) else { return };
         let conn = match std::mem::replace(&mut exchange.conn, ConnState::Down) {
             ConnState::Up(exchange_conn) | ConnState::Connecting(exchange_conn) => Some(exchange_conn),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -559,7 +559,7 @@
                 self.send_caller_releases(effects);
             }
             // `handle` checks the exit after every input.
-            Timer::CheckStopped => {}
+            Timer::CheckStopped => self.cut_calls_after_max_stop_time(effects),
             Timer::ShutdownDeadline => self.enforce_shutdown_deadline(effects),
             Timer::DrainCallers(drain_start) => self.drain_caller_conns(drain_start, effects),
             // `handle` checks the readiness after every input.
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -4,19 +4,21 @@
 use std::collections::HashSet;
 use std::time::{Duration, SystemTime};
 
-use swiftlb_record::{DrainSource, Event as RecordEvent, FailureReason};
+use swiftlb_record::{DrainSource, Event as RecordEvent, FailureReason, ReleasedBy};
 
 use super::{
-    Call, CallId, CallerConnId, CallerMessage, Effect, Engine, Front, Phase, Timer,
+    Call, CallId, CallerConnId, CallerMessage, Effect, Engine, ExchangeId, Front, Outcome, Phase, Readiness,
+    Timer,
     callers::{CallerConn, RELEASE_EXPIRY},
     elapsed,
+    exchanges::CAUSE_NORMAL_CLEARING,
 };
 
 /// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
 /// connections, and for another 0.2 s on open ones.
 const MIN_STOP_TIME: Duration = Duration::from_millis(700);
-/// Longest time for which established calls delay the end of the process after a request to stop. Most of them end
-/// by then; the rest are cut with the process, as they are if the platform ends it earlier.
+/// Longest time for which established calls delay the end of the process after a request to stop. Callers may still hang
+/// them up, and IAX2 legs end with the process. Most calls end by then.
 const MAX_STOP_TIME: Duration = Duration::from_secs(10);
 /// Time after the start of an operator's drain from which caller connections are closed: the platform opens new ones
 /// until a health check has failed. A connection that has carried no message is left open for this long after it
@@ -41,6 +43,11 @@
 /// 0.6 s, keep their whole waiting time.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time from the end of an established call within which its caller must be told.
+const RELEASE_LIMIT: Duration = Duration::from_secs(8);
+/// Time that the next process has to start and to tell callers of the calls that ended after the last caller connection of
+/// this one was closed.
+const NEXT_PROCESS_START_TIME: Duration = Duration::from_millis(1_500);
 /// Interval between two looks at the caller connections after the shutdown deadline.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after the shutdown deadline for which one connection is kept for releases. The rest until the kill covers what
@@ -140,11 +147,99 @@
             self.end_at_shutdown(id, effects);
         }
         self.set_timer(SHUTDOWN_CHECK_INTERVAL, Timer::ShutdownDeadline);
+        if self.release_time_is_over() {
+            self.cut_calls_without_later_report(effects);
+        }
         if elapsed(shutdown.answer_by, self.now) < BEGUN_LINE_GRACE {
             self.close_unused_conns(effects);
         } else {
             self.close_all_conns(effects);
         }
+        if self.release_time_is_over() {
+            self.close_conns_without_use(effects);
+        }
+    }
+
+    /// Whether the next process has to start now to tell callers in time of the calls that have ended since the last caller
+    /// connection was closed.
+    fn next_process_is_due(&self) -> bool {
+        let max_wait = RELEASE_CONN_KEEP_TIME + RELEASE_LIMIT - NEXT_PROCESS_START_TIME;
+        self.shutdown_deadline.is_some_and(|shutdown| shutdown.answer_by + max_wait <= self.now)
+    }
+
+    /// Whether the shutdown has closed, or closes now, the last connection on which releases are sent to JSON-lines callers.
+    fn release_time_is_over(&self) -> bool {
+        self.shutdown_deadline.is_some_and(|shutdown| shutdown.answer_by + RELEASE_CONN_KEEP_TIME <= self.now)
+    }
+
+    /// Cuts the established calls of JSON-lines callers of whose end no later process hears: their exchange was removed
+    /// from the list, so that none connects to it, or their other leg is IAX2 and ends with this process.
+    fn cut_calls_without_later_report(&mut self, effects: &mut Vec<Effect>) {
+        let is_removed = |id: ExchangeId| {
+            self.exchanges.get(&id).is_none_or(|exchange| exchange.readiness == Readiness::Removed)
+        };
+        let is_unheard = |call: &Call| match call.phase {
+            Phase::Established { exchange } => {
+                call.front == Front::JsonLines && (is_removed(exchange) || self.conn_carries_calls(exchange))
+            }
+            _ => false,
+        };
+        for id in self.calls_where(is_unheard) {
+            self.cut_at_shutdown(id, effects);
+        }
+    }
+
+    /// Cuts the established calls with an IAX2 caller once they have delayed the exit for `MAX_STOP_TIME`.
+    pub(super) fn cut_calls_after_max_stop_time(&mut self, effects: &mut Vec<Effect>) {
+        if self.stopping_since.is_none_or(|start| elapsed(start, self.now) < MAX_STOP_TIME) {
+            return;
+        }
+        let is_iax2 =
+            |call: &Call| call.front == Front::Iax2 && matches!(call.phase, Phase::Established { .. });
+        for id in self.calls_where(is_iax2) {
+            self.cut_at_shutdown(id, effects);
+        }
+    }
+
+    /// Releases an established call towards its exchange and its caller.
+    fn cut_at_shutdown(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+        let Some(Phase::Established { exchange }) = self.calls.get(&id).map(|call| call.phase) else {
+            return;
+        };
+        self.release_at_exchange(id, exchange, CAUSE_NORMAL_CLEARING, effects);
+        self.end_established(id, exchange, Outcome::Reset, ReleasedBy::Shutdown, effects);
+    }
+
+    /// Closes the connections to exchanges that this process has no use for any more, so that the exchanges keep the
+    /// releases of their calls for the next process.
+    fn close_conns_without_use(&mut self, effects: &mut Vec<Effect>) {
+        let without_use: Vec<ExchangeId> =
+            self.exchanges.keys().copied().filter(|id| self.leaves_exchange_to_next_process(*id)).collect();
+        for id in without_use {
+            self.close_exchange_conns(id, effects);
+        }
+    }
+
+    /// Whether this process must not open a connection to an exchange, because it stops or drains and could not pass on what
+    /// arrives there. The exchange repeats the release of a call on the next connection only, which has to be the one of
+    /// the next process.
+    pub(super) fn leaves_exchange_to_next_process(&self, id: ExchangeId) -> bool {
+        let has_iax2_caller = |call: &Call| {
+            call.front == Front::Iax2
+                && matches!(call.phase, Phase::Established { exchange }
+                    | Phase::Attempting { exchange, .. } if exchange == id)
+        };
+        let awaits_release =
+            self.exchanges.get(&id).is_some_and(|exchange| !exchange.pending_releases.is_empty());
+        (self.stopping_since.is_some() || self.operator_drain_since.is_some())
+            && !self.has_json_lines_callers()
+            && !awaits_release
+            && !self.calls.values().any(has_iax2_caller)
+    }
+
+    /// Whether a connection is open on which a JSON-lines caller may read releases.
+    fn has_json_lines_callers(&self) -> bool {
+        self.caller_conns.values().any(|conn| conn.front == Front::JsonLines && !conn.health_checks_only)
     }
 
     /// Closes the caller connections; no set-up is open. What has begun to arrive will not be complete in time.
@@ -331,9 +426,10 @@
     }
 
     /// Whether the process was asked to stop and nothing delays the exit. While a successor serves: once no call, no
-    /// waiting release and no JSON-lines caller connection is left. Otherwise: once `MIN_STOP_TIME` is over and no call is
-    /// left; after `MAX_STOP_TIME`, only calls that are not established delay the exit. Releases that wait for a caller
-    /// delay it until the shutdown deadline, those that wait for an exchange for `EXCHANGE_RELEASE_WAIT`.
+    /// waiting release and no JSON-lines caller connection is left. Otherwise: once `MIN_STOP_TIME` is over and no call
+    /// delays it. Established calls do so for `MAX_STOP_TIME`, on JSON lines also no longer than until the next process
+    /// is due. Releases that wait for a caller delay it until the shutdown deadline, those that wait for an
+    /// exchange for `EXCHANGE_RELEASE_WAIT`.
     pub fn may_exit(&self) -> bool {
         if self.exchange_releases_delay_exit() {
             return false;
@@ -345,10 +441,15 @@
                 && !caller_conns.any(|conn| conn.front == Front::JsonLines);
         }
         let Some(start) = self.stopping_since else { return false };
-        let stopped_for = elapsed(start, self.now);
-        let delays_exit =
-            |call: &Call| stopped_for < MAX_STOP_TIME || !matches!(call.phase, Phase::Established { .. });
-        stopped_for >= MIN_STOP_TIME
+        let max_stop_time_is_over = elapsed(start, self.now) >= MAX_STOP_TIME;
+        let delays_exit = |call: &Call| match (call.phase, call.front) {
+            (Phase::Established { .. }, Front::Iax2) => !max_stop_time_is_over,
+            (Phase::Established { .. }, Front::JsonLines) => {
+                !max_stop_time_is_over && !self.next_process_is_due()
+            }
+            _ => true,
+        };
+        elapsed(start, self.now) >= MIN_STOP_TIME
             && (self.caller_releases.is_empty() || self.shutdown_deadline_is_over())
             && !self.calls.values().any(delays_exit)
     }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -151,6 +151,25 @@
     assert!(harness.effects.contains(&released));
 }
 
+/// Guards against a drain before a planned restart in which the process takes the repetition of releases that it cannot
+/// pass on, and against connections that are missing after the drain.
+#[test]
+fn without_callers_a_draining_process_opens_no_connection_to_an_exchange_until_the_drain_ends() {
+    let mut harness = EngineHarness::new(2);
+    harness.place_call(1, 1, 3_000);
+    harness.answer(1, 1);
+    request(&mut harness, OperatorRequest::BeginDrain);
+    harness.handle(Input::CallerDisconnected { caller_conn: CALLER_CONN });
+    let requested = harness.exchange_conns.len();
+    harness.advance(4_000);
+    harness.handle(Input::ExchangeDisconnected { exchange_conn: harness.exchange_conn(1) });
+    harness.advance(4_000);
+    assert_eq!(harness.exchange_conns.len(), requested);
+    request(&mut harness, OperatorRequest::EndDrain);
+    harness.advance(250);
+    assert_eq!(harness.exchange_conns.len(), requested + 1);
+}
+
 #[test]
 fn on_sockets_a_set_up_in_transit_is_served_and_iax2_calls_are_refused_during_a_drain() {
     let exchange = ListeningExchange::new();
