--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -2,14 +2,15 @@
 //!
 //! A lost connection does not prove that the process at the exchange has ended, since connections may be reset while
 //! it runs. The exchange counts as failed when it refuses the next connection, when no connection opens for
-//! `MAX_UNREACHABLE_TIME`, or when it is removed from the list; only then are its established calls cut. An open
-//! connection may be dead as well: if a message is due and nothing arrives, a second connection is opened, which
-//! replaces the first once it is up.
+//! `MAX_UNREACHABLE_TIME`, or when it is removed from the list; then its established calls are cut. That its process was
+//! started again is the subject of `restarts`. An open connection may be dead as well: if a message is due and nothing
+//! arrives, a second connection is opened, which replaces the first once it is up.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use super::restarts::Doubt;
 use super::{
     Call, CallId, CallUid, Effect, Engine, Event, ExchangeConnId, ExchangeId, ExchangeMessage, ListEntry,
     ListUpdateKind, ListedExchange, Number, Outcome, Phase, RECONNECT_DELAY, REMOVAL_GRACE,
@@ -56,7 +57,7 @@
     opened_at: SystemTime,
     pub(super) last_received: SystemTime,
     /// Whether established calls belong to it and end with it, so that it cannot be replaced.
-    carries_calls: bool,
+    pub(super) carries_calls: bool,
 }
 
 /// An exchange of the list, or one that was removed from it a short time ago.
@@ -78,6 +79,8 @@
     pub(super) pending_releases: Vec<(CallUid, u8)>,
     reconnect_scheduled: bool,
     check_scheduled: bool,
+    /// Whether its established calls may have ended without a report.
+    pub(super) doubt: Option<Doubt>,
     /// Whether it has reported the state of its group unasked.
     reports_group: bool,
     /// Free circuits and size of its group, as last reported.
@@ -105,6 +108,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let mut listed = Vec::with_capacity(entries.len());
+        let mut started = Vec::new();
         for entry in entries {
             let id = self.exchange_id(&entry.name);
             let changed = self.entry_changed(id, &entry);
@@ -130,6 +134,7 @@
                 pending_releases: Vec::new(),
                 reconnect_scheduled: false,
                 check_scheduled: false,
+                doubt: None,
                 reports_group: false,
                 group: None,
             });
@@ -137,11 +142,17 @@
                 (exchange.readiness, exchange.readiness_changed_at) = (entry.readiness, now);
             }
             (exchange.address, exchange.number) = (entry.address, entry.number);
-            (exchange.zone, exchange.started_at) = (entry.zone, entry.started_at);
+            exchange.zone = entry.zone;
+            if std::mem::replace(&mut exchange.started_at, entry.started_at) != entry.started_at {
+                started.push(id);
+            }
             if changed {
                 self.record_exchange(id);
             }
         }
+        for id in started {
+            self.exchange_started(id, effects);
+        }
         let removed: Vec<ExchangeId> = self
             .exchanges
             .iter()
@@ -299,6 +310,7 @@
         } else {
             exchange.conn = ConnState::Down;
         }
+        exchange.doubt = Some(Doubt::about_calls_until(now));
         let unreachable_since = *exchange.unreachable_since.get_or_insert(now);
         if refused || elapsed(unreachable_since, now) >= MAX_UNREACHABLE_TIME {
             self.exchange_failed(id, refused, effects);
@@ -380,6 +392,7 @@
             self.connect(id, effects);
         }
         self.replace_silent_conn(id, effects);
+        self.cut_calls_after_mismatch(id, effects);
     }
 
     /// Checks a connection `SETUP_SILENCE_LIMIT` after a set-up was sent on it.
@@ -405,7 +418,7 @@
         };
         let may_be_dead = exchange.unreachable_since.is_some()
             || (silence(open.opened_at) >= ESTABLISHED_SILENCE_LIMIT
-                && self.calls.values().any(|c| c.phase == Phase::Established { exchange: id }))
+                && self.calls.values().any(|call| call.is_established_at(id)))
             || self.calls.values().any(setup_unanswered);
         if exchange.replacement.is_none() && may_be_dead {
             let replacement = self.open_conn(id, effects);
@@ -415,7 +428,7 @@
         }
     }
 
-    fn close_exchange_conn(&mut self, exchange_conn: ExchangeConnId, effects: &mut Vec<Effect>) {
+    pub(super) fn close_exchange_conn(&mut self, exchange_conn: ExchangeConnId, effects: &mut Vec<Effect>) {
         effects.push(Effect::CloseExchangeConn { exchange_conn });
         self.exchange_disconnected(exchange_conn, effects);
     }
@@ -474,13 +487,16 @@
         self.set_timer(REMOVED_EXCHANGE_RETENTION, Timer::RemoveExchange(id));
     }
 
-    /// Cuts the established calls of an exchange. If it runs after all, it receives their releases on the next
-    /// connection.
+    /// Cuts the established calls of an exchange.
     fn cut_established_calls(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
-        for call in self.calls_where(|call| call.phase == Phase::Established { exchange: id }) {
-            if let Some(exchange) = self.exchanges.get_mut(&id) {
-                exchange.pending_releases.push((self.calls[&call].uid, CAUSE_NORMAL_CLEARING));
-            }
+        self.cut_calls(id, self.calls_where(|call| call.is_established_at(id)), effects);
+    }
+
+    /// Cuts established calls of an exchange. If it runs after all, it receives their releases on its open connection, or on
+    /// the next one.
+    pub(super) fn cut_calls(&mut self, id: ExchangeId, calls: Vec<CallId>, effects: &mut Vec<Effect>) {
+        for call in calls {
+            self.send_or_queue_release(id, self.calls[&call].uid, CAUSE_NORMAL_CLEARING, effects);
             self.end_established(call, id, Outcome::Reset, ReleasedBy::ExchangeLost, effects);
         }
     }
@@ -526,6 +542,9 @@
         self.mark_active(exchange_conn);
         if let Some(exchange) = self.exchange_conns.get(&exchange_conn).map(|conn| conn.exchange) {
             self.update_group(exchange, report.as_ref());
+            if report.is_some() {
+                self.compare_group_with_calls(exchange, exchange_conn);
+            }
             self.controller_events.push_back(Event::ProbeResult {
                 exchange,
                 answered,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -30,6 +30,7 @@
 mod exchanges;
 mod messages;
 mod recording;
+mod restarts;
 mod shutdown;
 mod sibling;
 mod status;
@@ -140,7 +141,7 @@
     /// One attempt is open; `conn` is `None` until there is a connection to send it on.
     Attempting { exchange: ExchangeId, sent_at: SystemTime, conn: Option<ExchangeConnId> },
     /// The call is established.
-    Established { exchange: ExchangeId },
+    Established { exchange: ExchangeId, since: SystemTime },
 }
 
 #[derive(Debug)]
@@ -830,7 +831,7 @@
             _ => return,
         }
         match self.calls[&id].phase {
-            Phase::Established { exchange } => {
+            Phase::Established { exchange, .. } => {
                 self.release_at_exchange(id, exchange, cause, effects);
                 self.record_released(uid, Some(exchange), ReleasedBy::Caller, false);
                 // A release by the caller is reported as `Cancelled`, whether the call was established or not.
@@ -1067,7 +1068,7 @@
         let is_there = match self.calls.get(&id)?.phase {
             // A message on another connection concerns an earlier attempt, which has ended.
             Phase::Attempting { conn, .. } => conn == Some(exchange_conn),
-            Phase::Established { exchange: established_at } => established_at == exchange,
+            Phase::Established { exchange: established_at, .. } => established_at == exchange,
             Phase::Waiting => false,
         };
         is_there.then_some((id, exchange))
@@ -1085,7 +1086,7 @@
         let Some((id, exchange)) = self.call_on_conn(exchange_conn, uid) else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Phase::Attempting { sent_at, .. } = call.phase else { return };
-        call.phase = Phase::Established { exchange };
+        call.phase = Phase::Established { exchange, since: self.now };
         // A call may last long, so memory that only the set-up needed is freed.
         self.metrics.count_established(&std::mem::take(&mut call.class));
         call.called_number = None;
@@ -1176,9 +1177,14 @@
         self.end_call(id, CallerMessage::Released { cut: outcome == Outcome::Reset }, effects);
     }
 
-    /// Sends the release of an established call to its exchange, or queues it until a connection is open.
+    /// Sends the release of an established call to its exchange, or queues it and opens a connection if there is none.
     fn release_at_exchange(&mut self, id: CallId, at: ExchangeId, cause: u8, effects: &mut Vec<Effect>) {
-        let call = self.calls[&id].uid;
+        self.send_or_queue_release(at, self.calls[&id].uid, cause, effects);
+        self.connect(at, effects);
+    }
+
+    /// Sends the release of a call to an exchange, or queues it until a connection is open.
+    fn send_or_queue_release(&mut self, at: ExchangeId, call: CallUid, cause: u8, effects: &mut Vec<Effect>) {
         match self.exchanges.get(&at).map(|exchange| exchange.conn) {
             Some(ConnState::Up(exchange_conn)) => {
                 effects.push(Effect::ToExchange {
@@ -1187,13 +1193,10 @@
                     message: ExchangeMessage::Release { cause },
                 });
             }
-            Some(conn) => {
+            Some(_) => {
                 if let Some(exchange) = self.exchanges.get_mut(&at) {
                     exchange.pending_releases.push((call, cause));
                 }
-                if conn == ConnState::Down {
-                    self.connect(at, effects);
-                }
             }
             None => {}
         }
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -179,7 +179,7 @@
             self.exchanges.get(&id).is_none_or(|exchange| exchange.readiness == Readiness::Removed)
         };
         let is_unheard = |call: &Call| match call.phase {
-            Phase::Established { exchange } => {
+            Phase::Established { exchange, .. } => {
                 call.front == Front::JsonLines && (is_removed(exchange) || self.conn_carries_calls(exchange))
             }
             _ => false,
@@ -203,7 +203,7 @@
 
     /// Releases an established call towards its exchange and its caller.
     fn cut_at_shutdown(&mut self, id: CallId, effects: &mut Vec<Effect>) {
-        let Some(Phase::Established { exchange }) = self.calls.get(&id).map(|call| call.phase) else {
+        let Some(Phase::Established { exchange, .. }) = self.calls.get(&id).map(|call| call.phase) else {
             return;
         };
         self.release_at_exchange(id, exchange, CAUSE_NORMAL_CLEARING, effects);
@@ -226,7 +226,7 @@
     pub(super) fn leaves_exchange_to_next_process(&self, id: ExchangeId) -> bool {
         let has_iax2_caller = |call: &Call| {
             call.front == Front::Iax2
-                && matches!(call.phase, Phase::Established { exchange }
+                && matches!(call.phase, Phase::Established { exchange, .. }
                     | Phase::Attempting { exchange, .. } if exchange == id)
         };
         let awaits_release =
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -150,7 +150,7 @@
     fn sibling_reported_end(&mut self, uid: CallUid, cut: bool, effects: &mut Vec<Effect>) {
         let outcome = if cut { Outcome::Reset } else { Outcome::Completed };
         match self.call_ids.get(&uid).copied().map(|id| (id, self.calls[&id].phase)) {
-            Some((id, super::Phase::Established { exchange })) => {
+            Some((id, super::Phase::Established { exchange, .. })) => {
                 self.end_established(id, exchange, outcome, ReleasedBy::Exchange, effects);
             }
             Some(_) => {}
--- a/src/engine/status.rs
+++ b/src/engine/status.rs
@@ -13,7 +13,7 @@
         for call in self.calls.values() {
             match call.phase {
                 Phase::Attempting { exchange, .. } => counts.entry(exchange).or_default().0 += 1,
-                Phase::Established { exchange } => counts.entry(exchange).or_default().1 += 1,
+                Phase::Established { exchange, .. } => counts.entry(exchange).or_default().1 += 1,
                 Phase::Waiting => {}
             }
         }
