--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -23,9 +23,9 @@
 /// Time between two queries. A change of the list counts as delivered with the first answer that contains it, and
 /// after 1.5 s at the latest; the interval is much shorter, so that lost datagrams do not matter.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of recent queries whose answers are accepted. A late answer is as valid as a quick one, because the serials
-/// tell which of two lists is newer.
-const MAX_OPEN_QUERIES: usize = 20;
+/// Number of queries that are remembered, so that their answers are accepted. It bounds the memory and the share of the
+/// ids that a forged answer could use; no answer is too late, because the serials tell which of two lists is newer.
+const MAX_REMEMBERED_QUERIES: usize = 4_096;
 
 /// Why an answer is rejected.
 #[derive(Debug, Error)]
@@ -129,20 +129,37 @@
     pub zones: Vec<String>,
 }
 
-impl ListSource {
-    fn socket(&self) -> std::io::Result<UdpSocket> {
-        let any: SocketAddr =
-            if self.resolver.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
-        let socket = UdpSocket::bind(any)?;
-        socket.connect(self.resolver)?;
-        Ok(socket)
+/// The queries whose answers are accepted: their ids and the resolvers that they were sent to, oldest first.
+#[derive(Debug, Default)]
+struct SentQueries(VecDeque<(u16, SocketAddr)>);
+
+impl SentQueries {
+    fn remember(&mut self, id: u16, resolver: SocketAddr) {
+        if self.0.len() == MAX_REMEMBERED_QUERIES {
+            self.0.pop_front();
+        }
+        self.0.push_back((id, resolver));
+    }
+
+    /// The id of a datagram, if it belongs to a query to its sender.
+    fn matching_id(&self, datagram: &[u8], from: SocketAddr) -> Option<u16> {
+        let id = u16::from_be_bytes([*datagram.first()?, *datagram.get(1)?]);
+        self.0.iter().rev().any(|query| *query == (id, from)).then_some(id)
     }
 }
 
+/// Opens a socket for queries to this address and others of its family. It is not connected: answers of a resolver whose
+/// address was replaced by a reload may still arrive.
+fn open_socket(resolver: SocketAddr) -> std::io::Result<UdpSocket> {
+    let any: SocketAddr = if resolver.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    UdpSocket::bind(any)
+}
+
 /// Fetches the list repeatedly and calls `on_list` with the serial and the list whenever it is newer than the last
 /// one. If the first valid answer shows that the initial list is current, `on_list` is called once without a list.
-/// `source_changes` delivers new addresses of the resolver; serials continue across such a change. Returns when
-/// `on_list` returns false.
+/// `source_changes` delivers new addresses of the resolver; serials continue across such a change, and answers to earlier
+/// queries count as before: they may take longer than the time between two changes. Returns when `on_list` returns
+/// false.
 ///
 /// # Errors
 /// If the initial socket cannot be opened, or a socket option cannot be set.
@@ -153,35 +170,33 @@
     source_changes: &Receiver<ListSource>,
     mut on_list: impl FnMut(u32, Option<Vec<ListEntry>>) -> bool,
 ) -> std::io::Result<()> {
-    let mut socket = source.socket()?;
+    let mut socket = open_socket(source.resolver)?;
     let mut buffer = vec![0; MAX_ANSWER_BYTES];
     let mut ids = Pcg64Mcg::seed_from_u64(seed);
     let mut confirmed = false;
-    let mut open_queries: VecDeque<u16> = VecDeque::with_capacity(MAX_OPEN_QUERIES);
+    let mut queries = SentQueries::default();
     loop {
         if let Some(new_source) = source_changes.try_iter().last() {
-            match new_source.socket() {
-                Ok(opened) => {
-                    (socket, source) = (opened, new_source);
-                    open_queries.clear();
-                }
-                Err(error) => {
-                    tracing::warn!(
-                        address = %new_source.resolver, %error,
-                        "cannot open a socket for the new address of the resolver; still querying the old one"
-                    )
+            if new_source.resolver.is_ipv4() == source.resolver.is_ipv4() {
+                source = new_source;
+            } else {
+                match open_socket(new_source.resolver) {
+                    Ok(opened) => (socket, source) = (opened, new_source),
+                    Err(error) => {
+                        tracing::warn!(
+                            address = %new_source.resolver, %error,
+                            "cannot open a socket for the new address of the resolver; still querying the old one"
+                        )
+                    }
                 }
             }
         }
         let query_time = SystemTime::now();
         let id = ids.random();
-        if open_queries.len() == MAX_OPEN_QUERIES {
-            open_queries.pop_front();
-        }
-        open_queries.push_back(id);
+        queries.remember(id, source.resolver);
         if let Ok(query) = build_query(id) {
             // A query that fails or is lost is followed by another one after the interval.
-            let _ = socket.send(&query);
+            let _ = socket.send_to(&query, source.resolver);
         }
         loop {
             let remaining = QUERY_INTERVAL.saturating_sub(query_time.elapsed().unwrap_or(QUERY_INTERVAL));
@@ -189,18 +204,18 @@
                 break;
             }
             socket.set_read_timeout(Some(remaining))?;
-            let length = match socket.recv(&mut buffer) {
-                Ok(length) => length,
+            let (length, from) = match socket.recv_from(&mut buffer) {
+                Ok(received) => received,
                 Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
                 Err(_) => {
-                    // No resolver listens at the address: wait for the next query instead of spinning.
+                    // Wait for the next query instead of spinning.
                     std::thread::sleep(remaining);
                     continue;
                 }
             };
-            if let Ok((answer_serial, entries)) =
-                parse_answer(open_queries.make_contiguous(), &buffer[..length], &source.zones)
-            {
+            let answer = &buffer[..length];
+            let Some(id) = queries.matching_id(answer, from) else { continue };
+            if let Ok((answer_serial, entries)) = parse_answer(&[id], answer, &source.zones) {
                 let is_newer = is_newer_serial(answer_serial, serial);
                 let first = !std::mem::replace(&mut confirmed, true);
                 if is_newer {
--- a/tests/resolver.rs
+++ b/tests/resolver.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, bounded};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use dns_answer::{ListedTarget, list_answer};
 use retry::retry_interrupted;
 use swiftlb::engine::ListEntry;
@@ -64,18 +64,52 @@
     assert!(!dns::is_newer_serial(1, 1) && !dns::is_newer_serial(1, 2) && !dns::is_newer_serial(u32::MAX, 0));
 }
 
+/// Starts the client with serial 5; returns the lists that it reports, and the sender of new sources.
+fn follow(source: ListSource) -> (Receiver<Vec<ListEntry>>, Sender<ListSource>) {
+    let (list_sender, lists) = bounded(16);
+    let (source_sender, source_changes) = bounded(1);
+    let on_list = move |_, list: Option<_>| list.is_none_or(|list| list_sender.send(list).is_ok());
+    std::thread::spawn(move || dns::follow_list(source, 5, 1, &source_changes, on_list));
+    (lists, source_sender)
+}
+
+/// Guards against a resolver that is slow, so that no answer counts and the list never changes, though answers arrive all
+/// the time.
+#[test]
+fn an_answer_counts_however_late_it_is() {
+    let resolver = Resolver::new();
+    let (lists, _sources) = follow(resolver.source());
+    let queries: Vec<_> = (0..40).map(|_| resolver.query()).collect();
+    resolver.answer(queries[0], 6, &["a.wien.hosts"]);
+    assert_eq!(names(&lists), ["a"], "3.9 s after its query");
+    resolver.answer(queries[20], 7, &["b.wien.hosts"]);
+    assert_eq!(names(&lists), ["b"]);
+}
+
+/// Guards against the same where the configuration is reloaded in quick succession, more often than answers arrive.
+#[test]
+fn an_answer_counts_after_reloads_that_keep_or_change_the_address_of_the_resolver() {
+    let (first, second) = (Resolver::new(), Resolver::new());
+    let (lists, sources) = follow(first.source());
+    let query = first.query();
+    sources.send(first.source()).expect("a running client");
+    let (_, kept) = (first.query(), first.query());
+    first.answer(query, 6, &["a.wien.hosts"]);
+    assert_eq!(names(&lists), ["a"]);
+    sources.send(second.source()).expect("a running client");
+    second.query();
+    first.answer(kept, 7, &["b.wien.hosts"]);
+    assert_eq!(names(&lists), ["b"]);
+    // An answer to that query counts only if the resolver that got it sends it.
+    second.answer(kept, 8, &["stray.wien.hosts"]);
+    second.answer(second.query(), 9, &["c.wien.hosts"]);
+    assert_eq!(names(&lists), ["c"]);
+}
+
 #[test]
 fn only_newer_lists_are_accepted_also_from_late_answers_and_after_a_change_of_the_resolver() {
     let (first, second) = (Resolver::new(), Resolver::new());
-    let (list_sender, lists) = bounded(16);
-    let (source_sender, source_changes) = bounded(1);
-    let source = first.source();
-    let follow = move || {
-        dns::follow_list(source, 5, 1, &source_changes, |_, list| {
-            list.is_none_or(|list| list_sender.send(list).is_ok())
-        })
-    };
-    std::thread::spawn(follow);
+    let (lists, source_sender) = follow(first.source());
     let earlier_query = first.query();
     let later_query = first.query();
     // Ignored: an older list, an answer with an unknown id and a truncated answer. Accepted: the answer to the query
