--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -6,10 +6,12 @@
 //! started again is the subject of `restarts`. An open connection may be dead as well: if a message is due and nothing
 //! arrives, a second connection is opened, which replaces the first once it is up.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use super::releases::UnconfirmedRelease;
 use super::restarts::Doubt;
 use super::{
     Call, CallId, CallUid, Effect, Engine, Event, ExchangeConnId, ExchangeId, ExchangeMessage, ListEntry,
@@ -31,7 +33,7 @@
 /// be the first message after it.
 const SETUP_SILENCE_LIMIT_WITHOUT_REPORTS: Duration = Duration::from_secs(2);
 /// The same limit, from the last message on, for a connection to an exchange with established calls, whose ends would
-/// be reported on it.
+/// be reported on it, or with a release that it has not confirmed.
 const ESTABLISHED_SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// An exchange to which no connection has opened for this long has failed, and its established calls are cut. With
 /// the time until the loss is noticed, their callers get the release well within 8 s.
@@ -56,6 +58,8 @@
     pub(super) exchange: ExchangeId,
     opened_at: SystemTime,
     pub(super) last_received: SystemTime,
+    /// Releases that were sent on it and may be lost with it, oldest first.
+    pub(super) unconfirmed_releases: VecDeque<UnconfirmedRelease>,
     /// Whether established calls belong to it and end with it, so that it cannot be replaced.
     pub(super) carries_calls: bool,
 }
@@ -198,7 +202,13 @@
         let exchange_conn = self.last_exchange_conn;
         self.exchange_conns.insert(
             exchange_conn,
-            ExchangeConn { exchange: id, opened_at: now, last_received: now, carries_calls: false },
+            ExchangeConn {
+                exchange: id,
+                opened_at: now,
+                last_received: now,
+                unconfirmed_releases: VecDeque::new(),
+                carries_calls: false,
+            },
         );
         let (name, number, address) = (exchange.name.clone(), exchange.number, exchange.address);
         effects.push(Effect::ConnectExchange { exchange_conn, exchange: id, name, number, address });
@@ -277,11 +287,8 @@
         // Releases first: an earlier attempt of a call that is sent again may still hold a circuit there under the
         // same id.
         for (call, cause) in std::mem::take(&mut exchange.pending_releases) {
-            effects.push(Effect::ToExchange {
-                exchange_conn,
-                call,
-                message: ExchangeMessage::Release { cause },
-            });
+            let message = ExchangeMessage::Release { cause };
+            self.send_release_message(exchange_conn, call, cause, message, effects);
         }
         let unsent = |call: &Call| {
             matches!(call.phase, Phase::Attempting { exchange, conn: None, .. }
@@ -340,15 +347,18 @@
         self.reset_open_attempts(exchange_conn, id, effects);
         let Some(exchange) = self.exchanges.get_mut(&id) else { return };
         if exchange.conn != ConnState::Up(exchange_conn) {
-            return;
+            return self.resend_releases(conn, effects);
         }
         exchange.conn = exchange.replacement.take().map_or(ConnState::Down, ConnState::Connecting);
-        if exchange.readiness == Readiness::Removed {
+        let is_removed = exchange.readiness == Readiness::Removed;
+        let (carries_calls, opened_at) = (conn.carries_calls, conn.opened_at);
+        self.resend_releases(conn, effects);
+        if is_removed {
             self.cut_established_calls(id, effects);
-        } else if conn.carries_calls {
+        } else if carries_calls {
             self.cut_established_calls(id, effects);
             self.connect(id, effects);
-        } else if elapsed(conn.opened_at, now) < MIN_CONN_LIFETIME {
+        } else if elapsed(opened_at, now) < MIN_CONN_LIFETIME {
             self.schedule_reconnect(id);
         } else {
             self.connect(id, effects);
@@ -370,8 +380,8 @@
             self.end_attempt(call, Outcome::Reset, Reason::Unspecified);
             match self.exchanges.get_mut(&id) {
                 Some(Exchange { conn: ConnState::Up(open), .. }) if *open != exchange_conn => {
-                    let (exchange_conn, message) = (*open, ExchangeMessage::Cancel);
-                    effects.push(Effect::ToExchange { exchange_conn, call: uid, message });
+                    let (open, message) = (*open, ExchangeMessage::Cancel);
+                    self.send_release_message(open, uid, CAUSE_NORMAL_CLEARING, message, effects);
                 }
                 Some(exchange) => exchange.pending_releases.push((uid, CAUSE_NORMAL_CLEARING)),
                 None => {}
@@ -419,6 +429,10 @@
         let may_be_dead = exchange.unreachable_since.is_some()
             || (silence(open.opened_at) >= ESTABLISHED_SILENCE_LIMIT
                 && self.calls.values().any(|call| call.is_established_at(id)))
+            || open
+                .unconfirmed_releases
+                .front()
+                .is_some_and(|release| silence(release.sent_at) >= ESTABLISHED_SILENCE_LIMIT)
             || self.calls.values().any(setup_unanswered);
         if exchange.replacement.is_none() && may_be_dead {
             let replacement = self.open_conn(id, effects);
@@ -458,9 +472,12 @@
             ConnState::Down => None,
         };
         for exchange_conn in [conn, exchange.replacement.take()].into_iter().flatten() {
-            self.exchange_conns.remove(&exchange_conn);
+            let closed = self.exchange_conns.remove(&exchange_conn);
             effects.push(Effect::CloseExchangeConn { exchange_conn });
             self.reset_open_attempts(exchange_conn, id, effects);
+            if let Some(closed) = closed {
+                self.resend_releases(closed, effects);
+            }
         }
         self.fail_unsent_setups(id);
     }
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -243,6 +243,13 @@
         /// The connection.
         exchange_conn: ExchangeConnId,
     },
+    /// An exchange has heard the release of a call.
+    ReleaseConfirmed {
+        /// The connection.
+        exchange_conn: ExchangeConnId,
+        /// The call.
+        call: CallUid,
+    },
     /// An exchange answered: the call is established.
     Answered {
         /// The connection.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -30,13 +30,14 @@
 mod exchanges;
 mod messages;
 mod recording;
+mod releases;
 mod restarts;
 mod shutdown;
 mod sibling;
 mod status;
 
 use callers::{CallerConn, CallerRelease, UNREAD_REPORT_WINDOW};
-use exchanges::{ConnState, Exchange, ExchangeConn, SETUP_SILENCE_LIMIT};
+use exchanges::{CAUSE_NORMAL_CLEARING, ConnState, Exchange, ExchangeConn, SETUP_SILENCE_LIMIT};
 pub use messages::{
     CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, HandoverState,
     Input, ListEntry, SetUp, SiblingMessage,
@@ -320,7 +321,10 @@
             + self.exchange_ids.len()
             + self.ended_calls.len()
             + self.ended_call_uids.len();
+        let unconfirmed =
+            self.exchange_conns.values().map(|conn| conn.unconfirmed_releases.len()).sum::<usize>();
         let conns_and_releases = self.exchange_conns.len()
+            + unconfirmed
             + self.caller_conns.len()
             + self.caller_releases.len()
             + self.sent_releases.len();
@@ -422,6 +426,7 @@
                 self.exchange_disconnected(exchange_conn, effects)
             }
             Input::ExchangeActivity { exchange_conn } => self.mark_active(exchange_conn),
+            Input::ReleaseConfirmed { exchange_conn, call } => self.release_confirmed(exchange_conn, call),
             Input::Answered { exchange_conn, call, description } => {
                 self.exchange_answered(exchange_conn, call, description, effects)
             }
@@ -806,6 +811,7 @@
         }
         let now = self.now;
         self.sent_releases.retain(|(sent_at, ..)| elapsed(*sent_at, now) <= UNREAD_REPORT_WINDOW);
+        self.expire_unconfirmed_releases();
     }
 
     /// Stops counting a set-up towards the limits of open set-ups.
@@ -947,7 +953,9 @@
             remaining: elapsed(now, call.deadline),
             description: call.description.clone(),
         };
-        effects.push(Effect::ToExchange { exchange_conn, call: call.uid, message });
+        let uid = call.uid;
+        effects.push(Effect::ToExchange { exchange_conn, call: uid, message });
+        self.forget_releases(exchange_conn, uid);
     }
 
     /// Cancels the open attempt of a call at the exchange, without reporting its end to the decision module.
@@ -957,11 +965,8 @@
         if let Phase::Attempting { conn: Some(exchange_conn), .. } = call.phase
             && self.exchange_conns.contains_key(&exchange_conn)
         {
-            effects.push(Effect::ToExchange {
-                exchange_conn,
-                call: call.uid,
-                message: ExchangeMessage::Cancel,
-            });
+            let (uid, message) = (call.uid, ExchangeMessage::Cancel);
+            self.send_release_message(exchange_conn, uid, CAUSE_NORMAL_CLEARING, message, effects);
         }
         if let Some(call) = self.calls.get_mut(&id)
             && matches!(call.phase, Phase::Attempting { .. })
@@ -1176,31 +1181,6 @@
         self.report_outcome(id, exchange, outcome, Reason::Unspecified, true);
         self.end_call(id, CallerMessage::Released { cut: outcome == Outcome::Reset }, effects);
     }
-
-    /// Sends the release of an established call to its exchange, or queues it and opens a connection if there is none.
-    fn release_at_exchange(&mut self, id: CallId, at: ExchangeId, cause: u8, effects: &mut Vec<Effect>) {
-        self.send_or_queue_release(at, self.calls[&id].uid, cause, effects);
-        self.connect(at, effects);
-    }
-
-    /// Sends the release of a call to an exchange, or queues it until a connection is open.
-    fn send_or_queue_release(&mut self, at: ExchangeId, call: CallUid, cause: u8, effects: &mut Vec<Effect>) {
-        match self.exchanges.get(&at).map(|exchange| exchange.conn) {
-            Some(ConnState::Up(exchange_conn)) => {
-                effects.push(Effect::ToExchange {
-                    exchange_conn,
-                    call,
-                    message: ExchangeMessage::Release { cause },
-                });
-            }
-            Some(_) => {
-                if let Some(exchange) = self.exchanges.get_mut(&at) {
-                    exchange.pending_releases.push((call, cause));
-                }
-            }
-            None => {}
-        }
-    }
 }
 
 /// The number called in the form of the decision module: the value of hexadecimal digits, as the platform sends them,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -512,6 +512,7 @@
                 Ok(ExchangeLine::Checked(passed, report)) => {
                     Input::ProbeResult { exchange_conn, passed, report }
                 }
+                Ok(ExchangeLine::ReleaseConfirmed(call)) => Input::ReleaseConfirmed { exchange_conn, call },
                 Ok(ExchangeLine::Ignored) => Input::ExchangeActivity { exchange_conn },
                 // The connection is dropped after an unreadable line: it may have been the reply to a set-up, which
                 // its call would wait for in vain.
--- a/src/net/jsonl.rs
+++ b/src/net/jsonl.rs
@@ -62,6 +62,8 @@
     Usage(LoadReport),
     /// Reply to a probe: whether it passed, and the load report.
     Checked(bool, Option<LoadReport>),
+    /// The exchange has heard the release of this call.
+    ReleaseConfirmed(CallUid),
     /// A valid line that needs no action.
     Ignored,
 }
@@ -202,7 +204,8 @@
         "checked" => {
             ExchangeLine::Checked(line.cause() == Some(1), parse_load_report(&line, report_field_names))
         }
-        "staging" | "stopped" => ExchangeLine::Ignored,
+        "stopped" => ExchangeLine::ReleaseConfirmed(line.call),
+        "staging" => ExchangeLine::Ignored,
         _ => return Err(malformed()),
     })
 }
--- /dev/null
+++ b/tests/exchange_releases.rs
@@ -0,0 +1,100 @@
+//! Tests of the reducer in virtual time: releases of calls towards exchanges whose connections break.
+
+#[path = "common/engine_harness.rs"]
+mod engine_harness;
+
+use engine_harness::{CALLER_CONN, EngineHarness, call_uid};
+use swiftlb::engine::{ExchangeConnId, ExchangeMessage, Input};
+
+const RELEASE: ExchangeMessage = ExchangeMessage::Release { cause: 16 };
+
+fn hang_up(harness: &mut EngineHarness, call: u64) {
+    harness.handle(Input::HangUp { caller_conn: CALLER_CONN, call: call_uid(call), cause: 16 });
+}
+
+/// A harness whose caller has hung up call 1, established at exchange 1, and the connection with the release.
+fn with_hang_up() -> (EngineHarness, ExchangeConnId) {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 1_500);
+    harness.answer(1, 1);
+    harness.advance(300);
+    let exchange_conn = harness.exchange_conn(1);
+    hang_up(&mut harness, 1);
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+    (harness, exchange_conn)
+}
+
+/// The connection is lost, and another one opens; returns it.
+fn reconnect(harness: &mut EngineHarness, lost: ExchangeConnId) -> ExchangeConnId {
+    harness.handle(Input::ExchangeDisconnected { exchange_conn: lost });
+    let exchange_conn = harness.exchange_conn(1);
+    assert_ne!(exchange_conn, lost);
+    harness.handle(Input::ExchangeConnected { exchange_conn, carries_calls: false });
+    exchange_conn
+}
+
+/// Guards against releases that are lost with the connection on which they were sent, so that calls are left standing.
+#[test]
+fn a_release_is_sent_again_on_the_next_connection_unless_the_exchange_has_confirmed_it() {
+    let (mut harness, lost) = with_hang_up();
+    harness.advance(20);
+    let exchange_conn = reconnect(&mut harness, lost);
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+    // It is sent again as long as it is not confirmed.
+    harness.advance(300);
+    let exchange_conn = reconnect(&mut harness, exchange_conn);
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+    harness.handle(Input::ReleaseConfirmed { exchange_conn, call: call_uid(1) });
+    harness.advance(300);
+    harness.effects.clear();
+    reconnect(&mut harness, exchange_conn);
+    assert_eq!(harness.exchange_messages(1), []);
+}
+
+/// Guards against releases that are repeated without end towards exchanges that confirm nothing.
+#[test]
+fn a_release_is_not_sent_again_after_8_s() {
+    let (mut harness, lost) = with_hang_up();
+    // Messages arrive, so the connection is not taken for dead.
+    for _ in 0..9 {
+        harness.advance(1_000);
+        harness.handle(Input::ExchangeActivity { exchange_conn: lost });
+    }
+    harness.effects.clear();
+    reconnect(&mut harness, lost);
+    assert_eq!(harness.exchange_messages(1), []);
+}
+
+/// Guards against a release that was written to a connection that is dead, while no call is left whose silence would show
+/// that.
+#[test]
+fn a_connection_that_is_silent_after_a_release_is_replaced_and_the_release_is_sent_again() {
+    let (mut harness, silent) = with_hang_up();
+    harness.advance(3_500);
+    let replacement = harness.exchange_conn(1);
+    assert_ne!(replacement, silent);
+    harness.handle(Input::ExchangeConnected { exchange_conn: replacement, carries_calls: false });
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(replacement, RELEASE)));
+}
+
+/// Guards against a cancelled attempt whose answer crossed the cancel, if the cancel is lost with its connection; and against
+/// the old cancel reaching a later attempt of the call.
+#[test]
+fn a_cancel_is_sent_again_before_later_attempts_and_never_after_them() {
+    let mut harness = EngineHarness::new(2);
+    harness.advance(300);
+    harness.place_call(1, 1, 1_500);
+    hang_up(&mut harness, 1);
+    let lost = harness.exchange_conn(1);
+    let exchange_conn = reconnect(&mut harness, lost);
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+    // Another call with the same id, as a later attempt: nothing that was sent before concerns it.
+    harness.advance(300);
+    harness.place_call(2, 1, 1_500);
+    hang_up(&mut harness, 2);
+    harness.place_call(2, 1, 1_500);
+    harness.answer(2, 1);
+    harness.effects.clear();
+    reconnect(&mut harness, exchange_conn);
+    assert_eq!(harness.exchange_messages(2), []);
+}
