--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -401,6 +401,8 @@
     ToSibling(SiblingMessage),
     /// Accept connections from callers from now on, or leave them to the sibling process.
     Accept(bool),
+    /// Accept the connections that wait in the backlog and stop listening for callers for good.
+    StopListening,
     /// Close a caller connection after everything sent on it is written.
     CloseCallerConn {
         /// The connection.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -224,6 +224,8 @@
     controller_events: VecDeque<Event>,
     /// The limits of the shutdown, from the first request to stop on.
     shutdown_deadline: Option<ShutdownDeadline>,
+    /// Whether it has stopped listening for callers, shortly before the process may be killed.
+    listening_stopped: bool,
     /// When the request to stop arrived.
     stopping_since: Option<SystemTime>,
     /// When the operator's drain that is in progress began.
@@ -285,6 +287,7 @@
             timer_count: 0,
             controller_events: VecDeque::new(),
             shutdown_deadline: None,
+            listening_stopped: false,
             stopping_since: None,
             operator_drain_since: None,
             sibling: None,
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -147,6 +147,7 @@
             self.end_at_shutdown(id, effects);
         }
         self.set_timer(SHUTDOWN_CHECK_INTERVAL, Timer::ShutdownDeadline);
+        self.stop_listening(effects);
         if self.release_time_is_over() {
             self.cut_calls_without_later_report(effects);
         }
@@ -155,8 +156,13 @@
         } else {
             self.close_all_conns(effects);
         }
-        if self.release_time_is_over() {
-            self.close_conns_without_use(effects);
+        self.close_conns_without_use(effects);
+    }
+
+    /// Stops listening for callers. A set-up on a connection that is accepted shortly before the kill could not be answered.
+    fn stop_listening(&mut self, effects: &mut Vec<Effect>) {
+        if !std::mem::replace(&mut self.listening_stopped, true) {
+            effects.push(Effect::StopListening);
         }
     }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -116,7 +116,7 @@
     /// Sends new addresses of the resolver to its thread.
     source_sender: Sender<ListSource>,
     registry: Registry,
-    /// Listens for callers; closed when the exit begins.
+    /// Listens for callers; closed at the shutdown deadline, or when the exit begins.
     listener: Option<TcpListener>,
     /// When to accept again, if connections may be left in the backlog.
     accept_retry_at: Option<SystemTime>,
@@ -230,14 +230,18 @@
         (nothing_left && exit.close_at <= now) || exit.deadline <= now
     }
 
-    /// Begins the exit: accepts the connections that wait in the backlog and stops listening, so that further callers
-    /// learn at once that nothing of theirs was taken.
+    /// Begins the exit: stops listening, so that further callers learn at once that nothing of theirs was taken.
     fn begin_exit(&mut self) {
         if self.exit.is_some() {
             return;
         }
         let now = SystemTime::now();
         self.exit = Some(Exit { close_at: now + EXIT_SETTLE_TIME, deadline: now + FINAL_RETRANSMIT_TIME });
+        self.stop_listening();
+    }
+
+    /// Accepts the connections that wait in the backlog and stops listening.
+    fn stop_listening(&mut self) {
         if self.accepting {
             while self.accept_some() == Accepted::MoreMayWait {}
         }
@@ -609,6 +613,7 @@
                 handover.send(&message, registry, inputs);
             }),
             Effect::Accept(accepting) => self.set_accepting(accepting),
+            Effect::StopListening => self.stop_listening(),
             Effect::ToOperator { request_id, reply } => self.reply_to_operator(request_id, &reply),
             Effect::CloseCallerConn { caller_conn } => {
                 if let Some(mut connection) = self.caller_conns.remove(&caller_conn) {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -168,3 +168,24 @@
     assert!(std::time::Instant::now() < kill_at, "before the process may be killed");
     assert!(softswitch.is_running(), "a call is established");
 }
+
+/// Guards against set-ups that are taken on a new connection so shortly before the kill that they have no outcome.
+#[test]
+fn new_connections_are_refused_from_the_shutdown_deadline_on_while_established_calls_delay_the_exit() {
+    let deadlines_ms = [300, 300];
+    let (mut softswitch, _directory, mut exchange, [mut first, _second]) =
+        started_with_two_callers("listen", deadlines_ms);
+    first.send(&launch_line("00000000000000a1", 1, 300));
+    exchange.expect("launch", "00000000000000a1");
+    exchange.send(r#"{"kind":"running","uid":"00000000000000a1","meta":{},"body":""}"#);
+    first.expect("running", "00000000000000a1");
+    softswitch.signal("-TERM");
+    let kill_at = softswitch.kill_time(Duration::from_millis(deadlines_ms[0].into())).expect("SIGTERM");
+    std::thread::sleep(Duration::from_millis(700));
+    drop(JsonLinesConn::connect(softswitch.address));
+    std::thread::sleep(
+        (kill_at - Duration::from_millis(10)).saturating_duration_since(std::time::Instant::now()),
+    );
+    assert!(std::net::TcpStream::connect(softswitch.address).is_err(), "shortly before the kill");
+    assert!(softswitch.is_running(), "a call is established");
+}
