--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -482,7 +482,7 @@
         self.fail_unsent_setups(id);
     }
 
-    /// Closes the connections to an exchange that was removed from the list and cuts its calls; called again after
+    /// Cuts the calls of an exchange that was removed from the list and closes the connections to it; called again after
     /// `REMOVED_EXCHANGE_RETENTION`, drops its state.
     pub(super) fn remove_exchange(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
         let Some(exchange) =
@@ -496,11 +496,10 @@
             self.exchange_ids.remove(&name);
             return;
         }
-        self.close_exchange_conns(id, effects);
+        // The list may be late, and the exchange may serve again: the calls are released on its connection before that is
+        // closed.
         self.cut_established_calls(id, effects);
-        if let Some(exchange) = self.exchanges.get_mut(&id) {
-            exchange.pending_releases = Vec::new();
-        }
+        self.close_exchange_conns(id, effects);
         self.set_timer(REMOVED_EXCHANGE_RETENTION, Timer::RemoveExchange(id));
     }
 
--- a/tests/exchange_releases.rs
+++ b/tests/exchange_releases.rs
@@ -3,9 +3,11 @@
 #[path = "common/engine_harness.rs"]
 mod engine_harness;
 
-use engine_harness::{CALLER_CONN, EngineHarness, call_uid};
-use swiftlb::engine::{ExchangeConnId, ExchangeMessage, Input};
+use engine_harness::{CALLER_CONN, EngineHarness, call_uid, list_entry};
+use swiftlb::engine::{CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Input};
+use swiftlb::interface::Readiness;
 
+const CUT: CallerMessage = CallerMessage::Released { cut: true };
 const RELEASE: ExchangeMessage = ExchangeMessage::Release { cause: 16 };
 
 fn hang_up(harness: &mut EngineHarness, call: u64) {
@@ -98,3 +100,37 @@
     reconnect(&mut harness, exchange_conn);
     assert_eq!(harness.exchange_messages(2), []);
 }
+
+/// Guards against calls that are cut for their callers only, when a late list removes an exchange that is back already.
+#[test]
+fn calls_of_an_exchange_that_is_removed_from_the_list_are_released_on_its_open_connection() {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 1_500);
+    harness.answer(1, 1);
+    let exchange_conn = harness.exchange_conn(1);
+    harness.handle(Input::List(vec![list_entry(2, Readiness::Ready)]));
+    harness.advance(700);
+    assert_eq!(harness.caller_messages(1).last(), Some(&CUT));
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+    let position = |wanted: &dyn Fn(&Effect) -> bool| harness.effects.iter().position(wanted);
+    let released = position(&|e| matches!(e, Effect::ToExchange { message, .. } if *message == RELEASE));
+    let closed = position(&|e| *e == Effect::CloseExchangeConn { exchange_conn });
+    assert!(released.is_some() && released < closed);
+}
+
+/// Guards against releases that are dropped because their exchange is removed from the list while no connection is open.
+#[test]
+fn releases_wait_for_an_exchange_that_was_removed_from_the_list_and_returns() {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 1_500);
+    harness.answer(1, 1);
+    harness.advance(300);
+    harness.handle(Input::ExchangeDisconnected { exchange_conn: harness.exchange_conn(1) });
+    hang_up(&mut harness, 1);
+    harness.handle(Input::List(vec![list_entry(2, Readiness::Ready)]));
+    harness.advance(1_000);
+    harness.handle(Input::List(vec![list_entry(1, Readiness::Ready), list_entry(2, Readiness::Ready)]));
+    let exchange_conn = harness.exchange_conn(1);
+    harness.handle(Input::ExchangeConnected { exchange_conn, carries_calls: false });
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+}
