--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -1,10 +1,11 @@
 //! The exchanges of the list and the connections to them.
 //!
 //! A lost connection does not prove that the process at the exchange has ended, since connections may be reset while
-//! it runs. The exchange counts as failed when it refuses the next connection, when no connection opens for
-//! `MAX_UNREACHABLE_TIME`, or when it is removed from the list; then its established calls are cut. That its process was
+//! it runs. The exchange counts as failed when it refuses the next connection while none is open, when no connection opens
+//! for `MAX_UNREACHABLE_TIME`, or when it is removed from the list; then its established calls are cut. That its process was
 //! started again is the subject of `restarts`. An open connection may be dead as well: if a message is due and nothing
-//! arrives, a second connection is opened, which replaces the first once it is up.
+//! arrives, a second connection is opened, which replaces the first once it is up. A second connection that is refused
+//! proves nothing, as an exchange accepts a limited number.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -319,14 +320,28 @@
         }
         exchange.doubt = Some(Doubt::about_calls_until(now));
         let unreachable_since = *exchange.unreachable_since.get_or_insert(now);
-        if refused || elapsed(unreachable_since, now) >= MAX_UNREACHABLE_TIME {
-            self.exchange_failed(id, refused, effects);
-        } else if exchange.conn == ConnState::Down {
-            self.fail_unsent_setups(id);
-            self.schedule_reconnect(id);
+        let is_over = elapsed(unreachable_since, now) >= MAX_UNREACHABLE_TIME;
+        if exchange.conn == ConnState::Down {
+            if refused || is_over {
+                self.exchange_failed(id, effects);
+            } else {
+                self.fail_unsent_setups(id);
+                self.schedule_reconnect(id);
+            }
+        } else if is_over && refused {
+            self.make_room_for_next_conn(id, effects);
+        } else if is_over {
+            self.exchange_failed(id, effects);
         }
     }
 
+    /// Closes the silent connection to an exchange that refuses a second one: it may hold as many as it accepts. If it
+    /// refuses the next one as well, nobody listens there.
+    fn make_room_for_next_conn(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
+        self.close_exchange_conns(id, effects);
+        self.schedule_reconnect(id);
+    }
+
     /// Ends the attempts that wait for a connection. Their set-ups were never sent, so they cannot have taken effect.
     fn fail_unsent_setups(&mut self, id: ExchangeId) {
         let unsent = |call: &Call| {
@@ -448,12 +463,9 @@
     }
 
     /// Handles the failure of an exchange: its connections are closed and its established calls are cut.
-    fn exchange_failed(&mut self, id: ExchangeId, refused: bool, effects: &mut Vec<Effect>) {
+    fn exchange_failed(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
         self.close_exchange_conns(id, effects);
         self.cut_established_calls(id, effects);
-        if refused && let Some(exchange) = self.exchanges.get_mut(&id) {
-            exchange.pending_releases.clear();
-        }
         self.schedule_reconnect(id);
     }
 
--- a/tests/exchange_releases.rs
+++ b/tests/exchange_releases.rs
@@ -134,3 +134,65 @@
     harness.handle(Input::ExchangeConnected { exchange_conn, carries_calls: false });
     assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
 }
+
+/// Guards against calls that are cut because an exchange refuses a second connection: it may hold as many as it accepts.
+#[test]
+fn a_refused_second_connection_cuts_no_call_while_the_first_one_is_open() {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 1_500);
+    harness.answer(1, 1);
+    let first = harness.exchange_conn(1);
+    harness.advance(3_250);
+    let second = harness.exchange_conn(1);
+    assert_ne!(second, first);
+    harness.handle(Input::ExchangeConnectFailed { exchange_conn: second, refused: true });
+    assert_eq!(harness.caller_messages(1).len(), 1, "answered, not cut");
+    assert!(!harness.effects.contains(&Effect::CloseExchangeConn { exchange_conn: first }));
+    // A message shows that the first connection works.
+    harness.handle(Input::ExchangeActivity { exchange_conn: first });
+    harness.advance(2_900);
+    assert_eq!(harness.exchange_conn(1), second, "nothing is suspected");
+    assert_eq!(harness.caller_messages(1).len(), 1);
+}
+
+/// The second connection to exchange 1 is refused for `MAX_UNREACHABLE_TIME` while the first one stays silent.
+fn with_refusals() -> (EngineHarness, ExchangeConnId) {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 1_500);
+    harness.answer(1, 1);
+    let first = harness.exchange_conn(1);
+    let closed = Effect::CloseExchangeConn { exchange_conn: first };
+    harness.advance(3_250);
+    while !harness.effects.contains(&closed) {
+        let refused = harness.exchange_conn(1);
+        assert_ne!(refused, first);
+        harness.handle(Input::ExchangeConnectFailed { exchange_conn: refused, refused: true });
+        harness.advance(250);
+    }
+    (harness, first)
+}
+
+/// Guards against the same while the first connection is silent for long: closing it makes room for another one.
+#[test]
+fn after_refusals_the_silent_connection_is_closed_and_the_calls_stand_if_the_next_one_opens() {
+    let (mut harness, first) = with_refusals();
+    harness.advance(250);
+    let next = harness.exchange_conn(1);
+    assert_ne!(next, first);
+    harness.handle(Input::ExchangeConnected { exchange_conn: next, carries_calls: false });
+    harness.advance(2_900);
+    assert_eq!(harness.caller_messages(1).len(), 1, "answered, not cut");
+}
+
+/// Guards against calls that stand for ever, or at their exchange, where nobody listens after the refusals.
+#[test]
+fn after_refusals_calls_are_cut_within_8_s_if_no_connection_opens_and_are_released_if_one_opens_later() {
+    let (mut harness, _) = with_refusals();
+    harness.advance(250);
+    harness.handle(Input::ExchangeConnectFailed { exchange_conn: harness.exchange_conn(1), refused: true });
+    assert_eq!(harness.caller_messages(1).last(), Some(&CUT));
+    harness.advance(300);
+    let exchange_conn = harness.exchange_conn(1);
+    harness.handle(Input::ExchangeConnected { exchange_conn, carries_calls: false });
+    assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
+}
