--- a/src/iax2/leg.rs
+++ b/src/iax2/leg.rs
@@ -15,8 +15,13 @@
 const MAX_RETRANSMIT_DELAY: Duration = Duration::from_secs(2);
 /// A peer that does not acknowledge a frame after this many retransmissions is considered dead.
 const MAX_RETRANSMISSIONS: u32 = 4;
-/// Time without a frame from the peer after which it is pinged.
-const PING_INTERVAL: Duration = Duration::from_secs(10);
+/// Time without a full frame from the peer after which it is pinged.
+const PING_INTERVAL: Duration = Duration::from_secs(3);
+/// A peer from which nothing arrives for this long, although frames await its acknowledgement, is considered dead. The end
+/// of an established call must be reported within 8 s.
+const MAX_SILENCE: Duration = Duration::from_millis(7_500);
+/// Retransmissions of a frame without which a silent peer is not considered dead.
+const MIN_RETRANSMISSIONS: u32 = 3;
 
 /// A frame that was sent and is not acknowledged yet.
 #[derive(Clone, Debug)]
@@ -61,6 +66,7 @@
     iseqno: u8,
     unacked: VecDeque<Unacked>,
     ping_at: SystemTime,
+    last_heard: SystemTime,
     last_timestamp: u32,
     /// Reference for the timestamps of mini frames, and media format of the voice received. The reference is the
     /// timestamp of the last full voice frame, or the highest of the mini frames after it.
@@ -83,6 +89,7 @@
             iseqno: 0,
             unacked: VecDeque::new(),
             ping_at: now + PING_INTERVAL,
+            last_heard: now,
             last_timestamp: 0,
             received_voice: None,
             sent_voice: None,
@@ -154,6 +161,17 @@
         out.push(self.build_frame(FrameType::Iax, subclass, timestamp, Vec::new()).encode());
     }
 
+    /// Registers that something arrived from the peer.
+    pub fn mark_heard(&mut self, now: SystemTime) {
+        self.last_heard = now;
+    }
+
+    /// When the peer is considered dead for its silence; `None` as long as no frame was retransmitted often enough.
+    fn silence_deadline(&self) -> Option<SystemTime> {
+        let is_unanswered = |pending: &Unacked| pending.retransmissions >= MIN_RETRANSMISSIONS;
+        self.unacked.iter().any(is_unanswered).then(|| self.last_heard + MAX_SILENCE)
+    }
+
     /// Handles a full frame received on this leg.
     pub fn receive(&mut self, now: SystemTime, frame: FullFrame, out: &mut Vec<Vec<u8>>) -> Received {
         if self.remote_call == 0 {
@@ -163,6 +181,7 @@
             return Received::UnknownCall;
         }
         self.ping_at = now + PING_INTERVAL;
+        self.mark_heard(now);
         self.acknowledge(frame.iseqno);
         if frame.is_iax(iax::VNAK) {
             for pending in &mut self.unacked {
@@ -218,12 +237,16 @@
 
     /// When [`Self::handle_timeout`] must be called next. A closing leg sends no pings.
     pub fn next_timeout(&self, closing: bool) -> Option<SystemTime> {
-        let next = self.unacked.iter().map(|pending| pending.retransmit_at).min();
+        let retransmissions = self.unacked.iter().map(|pending| pending.retransmit_at);
+        let next = retransmissions.chain(self.silence_deadline()).min();
         if closing { next } else { Some(next.map_or(self.ping_at, |next| next.min(self.ping_at))) }
     }
 
     /// Retransmits frames that are due, and pings a silent peer. Returns false if the peer is considered dead.
     pub fn handle_timeout(&mut self, now: SystemTime, closing: bool, out: &mut Vec<Vec<u8>>) -> bool {
+        if self.silence_deadline().is_some_and(|deadline| deadline <= now) {
+            return false;
+        }
         for pending in self.unacked.iter_mut().filter(|pending| pending.retransmit_at <= now) {
             if pending.retransmissions >= MAX_RETRANSMISSIONS {
                 return false;
--- a/src/iax2/mod.rs
+++ b/src/iax2/mod.rs
@@ -614,7 +614,9 @@
 
     fn receive_mini(&mut self, now: SystemTime, from: SocketAddr, frame: MiniFrame, out: &mut Output) {
         let Some(call_number) = self.by_remote_call.get(&(from, frame.source_call)).copied() else { return };
-        let voice = self.legs.get_mut(&call_number).and_then(|entry| entry.leg.voice_from_mini(frame));
+        let Some(entry) = self.legs.get_mut(&call_number) else { return };
+        entry.leg.mark_heard(now);
+        let voice = entry.leg.voice_from_mini(frame);
         if let Some(voice) = voice {
             self.relay_voice(now, call_number, voice, out);
         }
--- a/tests/legs.rs
+++ b/tests/legs.rs
@@ -229,6 +229,40 @@
     assert_eq!(receive(frame(3, iax::INVAL, vec![])).0, Received::UnknownCall);
 }
 
+/// Guards against calls whose peer vanishes while nothing is sent, and whose end is told too late: it is due within 8 s.
+#[test]
+fn a_peer_that_vanishes_is_considered_dead_7_500_ms_after_its_last_frame() {
+    let mut leg = Leg::new(5, 9, UNIX_EPOCH);
+    let last_frame = UNIX_EPOCH + Duration::from_secs(60);
+    leg.receive(last_frame, frame(0, iax::ACCEPT, vec![]), &mut Vec::new());
+    let declared_dead_at = loop {
+        let at = leg.next_timeout(false).expect("a timer");
+        if !leg.handle_timeout(at, false, &mut Vec::new()) {
+            break at;
+        }
+    };
+    assert_eq!(declared_dead_at, last_frame + Duration::from_millis(7_500));
+}
+
+/// Guards against peers that are considered dead because this process was stopped for a while, and against others that are
+/// heard by their voice alone.
+#[test]
+fn a_peer_is_not_considered_dead_before_retransmissions_or_while_its_voice_is_heard() {
+    let mut leg = Leg::new(5, 9, UNIX_EPOCH);
+    let mut sent = Vec::new();
+    assert!(leg.handle_timeout(UNIX_EPOCH + Duration::from_secs(3), false, &mut sent));
+    assert!(single_frame(&sent).is_iax(iax::PING));
+    let resumed = UNIX_EPOCH + Duration::from_secs(30);
+    assert!(leg.handle_timeout(resumed, false, &mut sent));
+    assert!(leg.next_timeout(false).expect("a timer") > resumed, "it waits for the retransmission");
+    let mut leg = Leg::new(5, 9, UNIX_EPOCH);
+    for seconds in 0..8 {
+        let now = UNIX_EPOCH + Duration::from_secs(seconds);
+        leg.mark_heard(now);
+        assert!(leg.handle_timeout(now, false, &mut sent));
+    }
+}
+
 #[test]
 fn unacknowledged_frames_are_retransmitted_with_back_off_until_the_peer_is_considered_dead() {
     let mut leg = Leg::new(5, 9, UNIX_EPOCH);
