--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -235,6 +235,7 @@
         if self.call_ids.contains_key(&uid) {
             return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
         }
+        self.remember_ended(uid);
         effects.push(Effect::ToCaller {
             caller_conn,
             call: uid,
--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -12,12 +12,12 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use super::releases::UnconfirmedRelease;
+use super::releases::{Release, UnconfirmedRelease};
 use super::restarts::Doubt;
 use super::{
-    Call, CallId, CallUid, Effect, Engine, Event, ExchangeConnId, ExchangeId, ExchangeMessage, ListEntry,
-    ListUpdateKind, ListedExchange, Number, Outcome, Phase, RECONNECT_DELAY, REMOVAL_GRACE,
-    REMOVED_EXCHANGE_RETENTION, Readiness, Reason, Timer, elapsed, unix_ms,
+    Call, CallId, Effect, Engine, Event, ExchangeConnId, ExchangeId, ListEntry, ListUpdateKind,
+    ListedExchange, Number, Outcome, Phase, RECONNECT_DELAY, REMOVAL_GRACE, REMOVED_EXCHANGE_RETENTION,
+    Readiness, Reason, Timer, elapsed, unix_ms,
 };
 use crate::interface::LoadReport;
 use swiftlb_record::{ConnectionChange, ReleasedBy};
@@ -80,8 +80,8 @@
     replacement: Option<ExchangeConnId>,
     /// Since when every attempt to connect has failed; `None` once a connection opens or a message arrives.
     unreachable_since: Option<SystemTime>,
-    /// Releases to be sent on the next connection, with their Q.850 causes.
-    pub(super) pending_releases: Vec<(CallUid, u8)>,
+    /// Releases to be sent on the next connection.
+    pub(super) pending_releases: Vec<Release>,
     reconnect_scheduled: bool,
     check_scheduled: bool,
     /// Whether its established calls may have ended without a report.
@@ -287,9 +287,8 @@
         let Some(exchange) = self.exchanges.get_mut(&id) else { return };
         // Releases first: an earlier attempt of a call that is sent again may still hold a circuit there under the
         // same id.
-        for (call, cause) in std::mem::take(&mut exchange.pending_releases) {
-            let message = ExchangeMessage::Release { cause };
-            self.send_release_message(exchange_conn, call, cause, message, effects);
+        for release in std::mem::take(&mut exchange.pending_releases) {
+            self.send_release_on(exchange_conn, release, effects);
         }
         let unsent = |call: &Call| {
             matches!(call.phase, Phase::Attempting { exchange, conn: None, .. }
@@ -395,10 +394,10 @@
             self.end_attempt(call, Outcome::Reset, Reason::Unspecified);
             match self.exchanges.get_mut(&id) {
                 Some(Exchange { conn: ConnState::Up(open), .. }) if *open != exchange_conn => {
-                    let (open, message) = (*open, ExchangeMessage::Cancel);
-                    self.send_release_message(open, uid, CAUSE_NORMAL_CLEARING, message, effects);
+                    let open = *open;
+                    self.send_cancel_on(open, uid, effects);
                 }
-                Some(exchange) => exchange.pending_releases.push((uid, CAUSE_NORMAL_CLEARING)),
+                Some(exchange) => exchange.pending_releases.push(Release::known(uid, CAUSE_NORMAL_CLEARING)),
                 None => {}
             }
         }
@@ -445,9 +444,8 @@
             || (silence(open.opened_at) >= ESTABLISHED_SILENCE_LIMIT
                 && self.calls.values().any(|call| call.is_established_at(id)))
             || open
-                .unconfirmed_releases
-                .front()
-                .is_some_and(|release| silence(release.sent_at) >= ESTABLISHED_SILENCE_LIMIT)
+                .awaits_confirmation_since()
+                .is_some_and(|sent_at| silence(sent_at) >= ESTABLISHED_SILENCE_LIMIT)
             || self.calls.values().any(setup_unanswered);
         if exchange.replacement.is_none() && may_be_dead {
             let replacement = self.open_conn(id, effects);
@@ -524,7 +522,8 @@
     /// the next one.
     pub(super) fn cut_calls(&mut self, id: ExchangeId, calls: Vec<CallId>, effects: &mut Vec<Effect>) {
         for call in calls {
-            self.send_or_queue_release(id, self.calls[&call].uid, CAUSE_NORMAL_CLEARING, effects);
+            let release = Release::known(self.calls[&call].uid, CAUSE_NORMAL_CLEARING);
+            self.send_or_queue_release(id, release, effects);
             self.end_established(call, id, Outcome::Reset, ReleasedBy::ExchangeLost, effects);
         }
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -37,7 +37,7 @@
 mod status;
 
 use callers::{CallerConn, CallerRelease, UNREAD_REPORT_WINDOW};
-use exchanges::{CAUSE_NORMAL_CLEARING, ConnState, Exchange, ExchangeConn, SETUP_SILENCE_LIMIT};
+use exchanges::{ConnState, Exchange, ExchangeConn, SETUP_SILENCE_LIMIT};
 pub use messages::{
     CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, HandoverState,
     Input, ListEntry, SetUp, SiblingMessage,
@@ -739,6 +739,7 @@
     ) {
         self.metrics.count_refused(class);
         let retry_after = self.retry_after_exit().unwrap_or(self.max_retry_after);
+        self.remember_ended(call);
         self.record_refusal(call, reason, retry_after);
         effects.push(Effect::ToCaller { caller_conn, call, message: CallerMessage::Refused { retry_after } });
         self.close_conn_after_outcome(caller_conn, effects);
@@ -794,9 +795,7 @@
             self.uncount_open_setup(call.description.as_ref());
         }
         self.call_ids.remove(&call.uid);
-        if self.ended_call_uids.insert(call.uid) {
-            self.ended_calls.push_back((self.now, call.uid));
-        }
+        self.remember_ended(call.uid);
         // Sent for every removed call, not only for abandoned ones: the decision module still knows the call if it was
         // late with its decision or the caller connection was lost. It ignores the event for a call that it has ended
         // itself.
@@ -804,6 +803,13 @@
         Some(call)
     }
 
+    /// Remembers for a while that a call is not established any more, or never was.
+    fn remember_ended(&mut self, call: CallUid) {
+        if self.ended_call_uids.insert(call) {
+            self.ended_calls.push_back((self.now, call));
+        }
+    }
+
     /// Drops ended calls and sent releases whose retention time is over.
     fn expire_old_entries(&mut self) {
         while let Some((at, uid)) = self.ended_calls.front().copied()
@@ -826,10 +832,15 @@
 
     fn hang_up(&mut self, caller_conn: CallerConnId, uid: CallUid, cause: u8, effects: &mut Vec<Effect>) {
         let Some(id) = self.call_ids.get(&uid).copied() else {
-            // The call may be established in the sibling process: its release may arrive on any connection.
-            if self.sibling.is_some() && caller_conn != NO_CALLER_CONN && !self.ended_call_uids.contains(&uid)
-            {
+            if caller_conn == NO_CALLER_CONN || self.ended_call_uids.contains(&uid) {
+                return;
+            }
+            // The call may be established in the sibling process, or it was established before this one started: its
+            // release may arrive on any connection.
+            if self.sibling.is_some() {
                 effects.push(Effect::ToSibling(SiblingMessage::HangUp { call: uid, cause }));
+            } else if self.caller_conns.get(&caller_conn).is_some_and(|conn| conn.front == Front::JsonLines) {
+                self.release_earlier_call(uid, cause, effects);
             }
             return;
         };
@@ -968,8 +979,8 @@
         if let Phase::Attempting { conn: Some(exchange_conn), .. } = call.phase
             && self.exchange_conns.contains_key(&exchange_conn)
         {
-            let (uid, message) = (call.uid, ExchangeMessage::Cancel);
-            self.send_release_message(exchange_conn, uid, CAUSE_NORMAL_CLEARING, message, effects);
+            let uid = call.uid;
+            self.send_cancel_on(exchange_conn, uid, effects);
         }
         if let Some(call) = self.calls.get_mut(&id)
             && matches!(call.phase, Phase::Attempting { .. })
@@ -1161,8 +1172,7 @@
         if !matches!(outcome, Outcome::Completed | Outcome::Reset) {
             return;
         }
-        self.ended_call_uids.insert(call);
-        self.ended_calls.push_back((self.now, call));
+        self.remember_ended(call);
         self.record_released(call, None, ReleasedBy::Exchange, outcome == Outcome::Reset);
         let message = CallerMessage::Released { cut: outcome == Outcome::Reset };
         self.send_release(NO_CALLER_CONN, self.caller_release(Front::JsonLines, call, message), effects);
--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -5,19 +5,41 @@
 
 use std::time::{Duration, SystemTime};
 
-use super::exchanges::{ConnState, ExchangeConn};
-use super::{CallId, CallUid, Effect, Engine, ExchangeConnId, ExchangeId, ExchangeMessage, elapsed};
+use super::exchanges::{CAUSE_NORMAL_CLEARING, ConnState, Exchange, ExchangeConn};
+use super::{
+    CallId, CallUid, Effect, Engine, ExchangeConnId, ExchangeId, ExchangeMessage, Readiness, elapsed,
+};
 
 /// Time for which a release that the exchange has not confirmed is sent again: by then its call is over or lost.
 const RESEND_TIME: Duration = Duration::from_secs(8);
 
-/// A release that was sent on a connection to an exchange and is not confirmed.
+/// Time after its start for which a process expects hang-ups of calls that were established before it: nearly all of them
+/// have ended by then.
+const EARLIER_CALLS_TIME: Duration = Duration::from_secs(300);
+
+/// A release of a call towards an exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct UnconfirmedRelease {
-    pub(super) sent_at: SystemTime,
+pub(super) struct Release {
     call: CallUid,
     /// Q.850 cause.
     cause: u8,
+    /// Whether the call is known to be at the exchange, or to have been sent there. Otherwise it may be at any exchange,
+    /// and no reply is expected.
+    is_known_there: bool,
+}
+
+impl Release {
+    /// The release of a call that is at the exchange, or was sent there.
+    pub(super) fn known(call: CallUid, cause: u8) -> Self {
+        Self { call, cause, is_known_there: true }
+    }
+}
+
+/// A release that was sent on a connection to an exchange and is not confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UnconfirmedRelease {
+    sent_at: SystemTime,
+    release: Release,
 }
 
 impl Engine {
@@ -29,49 +51,79 @@
         cause: u8,
         effects: &mut Vec<Effect>,
     ) {
-        self.send_or_queue_release(at, self.calls[&id].uid, cause, effects);
+        self.send_or_queue_release(at, Release::known(self.calls[&id].uid, cause), effects);
         self.connect(at, effects);
     }
 
-    /// Sends the release of a call to an exchange, or queues it until a connection is open.
+    /// Releases a call that was established before this process started, at whichever exchange it stands.
+    pub(super) fn release_earlier_call(&mut self, call: CallUid, cause: u8, effects: &mut Vec<Effect>) {
+        if elapsed(self.started_at, self.now) >= EARLIER_CALLS_TIME {
+            return;
+        }
+        self.remember_ended(call);
+        let release = Release { call, cause, is_known_there: false };
+        let is_listed = |exchange: &Exchange| {
+            exchange.readiness != Readiness::Removed && Some(exchange.number) != self.home
+        };
+        let listed: Vec<ExchangeId> =
+            self.exchanges.iter().filter(|(_, exchange)| is_listed(exchange)).map(|(id, _)| *id).collect();
+        for id in listed {
+            self.send_or_queue_release(id, release, effects);
+        }
+    }
+
+    /// Sends a release to an exchange, or queues it until a connection is open.
     pub(super) fn send_or_queue_release(
         &mut self,
         at: ExchangeId,
-        call: CallUid,
-        cause: u8,
+        release: Release,
         effects: &mut Vec<Effect>,
     ) {
         let Some(exchange) = self.exchanges.get_mut(&at) else { return };
         if let ConnState::Up(exchange_conn) = exchange.conn {
-            let message = ExchangeMessage::Release { cause };
-            self.send_release_message(exchange_conn, call, cause, message, effects);
+            self.send_release_on(exchange_conn, release, effects);
         } else {
-            exchange.pending_releases.push((call, cause));
+            exchange.pending_releases.push(release);
         }
     }
 
-    /// Sends a release, or the cancel of a set-up, on a connection, and keeps it until it is confirmed.
-    pub(super) fn send_release_message(
+    /// Sends a release on a connection, and keeps it until it is confirmed.
+    pub(super) fn send_release_on(
+        &mut self,
+        exchange_conn: ExchangeConnId,
+        release: Release,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.keep_until_confirmed(exchange_conn, release);
+        let message = ExchangeMessage::Release { cause: release.cause };
+        effects.push(Effect::ToExchange { exchange_conn, call: release.call, message });
+    }
+
+    /// Cancels a set-up that was sent on a connection, and keeps the cancel until it is confirmed: the call may be
+    /// established by the time it is read.
+    pub(super) fn send_cancel_on(
         &mut self,
         exchange_conn: ExchangeConnId,
         call: CallUid,
-        cause: u8,
-        message: ExchangeMessage,
         effects: &mut Vec<Effect>,
     ) {
+        self.keep_until_confirmed(exchange_conn, Release::known(call, CAUSE_NORMAL_CLEARING));
+        effects.push(Effect::ToExchange { exchange_conn, call, message: ExchangeMessage::Cancel });
+    }
+
+    fn keep_until_confirmed(&mut self, exchange_conn: ExchangeConnId, release: Release) {
         let now = self.now;
         // A leg of IAX2 sends its frames again by itself.
         if let Some(conn) = self.exchange_conns.get_mut(&exchange_conn).filter(|conn| !conn.carries_calls) {
-            conn.unconfirmed_releases.push_back(UnconfirmedRelease { sent_at: now, call, cause });
+            conn.unconfirmed_releases.push_back(UnconfirmedRelease { sent_at: now, release });
         }
-        effects.push(Effect::ToExchange { exchange_conn, call, message });
     }
 
     /// Registers that an exchange has heard the release of a call.
     pub(super) fn release_confirmed(&mut self, exchange_conn: ExchangeConnId, call: CallUid) {
         self.mark_active(exchange_conn);
         if let Some(conn) = self.exchange_conns.get_mut(&exchange_conn) {
-            conn.unconfirmed_releases.retain(|release| release.call != call);
+            conn.unconfirmed_releases.retain(|sent| sent.release.call != call);
         }
     }
 
@@ -79,15 +131,15 @@
     /// read before the set-up.
     pub(super) fn forget_releases(&mut self, exchange_conn: ExchangeConnId, call: CallUid) {
         if let Some(conn) = self.exchange_conns.get_mut(&exchange_conn) {
-            conn.unconfirmed_releases.retain(|release| release.call != call);
+            conn.unconfirmed_releases.retain(|sent| sent.release.call != call);
         }
     }
 
     /// Sends the unconfirmed releases of a lost connection again, on the connection that is open now or on the next one.
     pub(super) fn resend_releases(&mut self, lost: ExchangeConn, effects: &mut Vec<Effect>) {
-        for release in lost.unconfirmed_releases {
-            if elapsed(release.sent_at, self.now) < RESEND_TIME {
-                self.send_or_queue_release(lost.exchange, release.call, release.cause, effects);
+        for sent in lost.unconfirmed_releases {
+            if elapsed(sent.sent_at, self.now) < RESEND_TIME {
+                self.send_or_queue_release(lost.exchange, sent.release, effects);
             }
         }
     }
@@ -96,7 +148,14 @@
     pub(super) fn expire_unconfirmed_releases(&mut self) {
         let now = self.now;
         for conn in self.exchange_conns.values_mut() {
-            conn.unconfirmed_releases.retain(|release| elapsed(release.sent_at, now) < RESEND_TIME);
+            conn.unconfirmed_releases.retain(|sent| elapsed(sent.sent_at, now) < RESEND_TIME);
         }
     }
 }
+
+impl ExchangeConn {
+    /// When the oldest release was sent on this connection that the exchange should have confirmed.
+    pub(super) fn awaits_confirmation_since(&self) -> Option<SystemTime> {
+        self.unconfirmed_releases.iter().find(|sent| sent.release.is_known_there).map(|sent| sent.sent_at)
+    }
+}
--- a/tests/exchange_releases.rs
+++ b/tests/exchange_releases.rs
@@ -4,8 +4,8 @@
 mod engine_harness;
 
 use engine_harness::{CALLER_CONN, EngineHarness, call_uid, list_entry};
-use swiftlb::engine::{CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Input};
-use swiftlb::interface::Readiness;
+use swiftlb::engine::{CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, Input};
+use swiftlb::interface::{Outcome, Readiness, Reason};
 
 const CUT: CallerMessage = CallerMessage::Released { cut: true };
 const RELEASE: ExchangeMessage = ExchangeMessage::Release { cause: 16 };
@@ -196,3 +196,46 @@
     harness.handle(Input::ExchangeConnected { exchange_conn, carries_calls: false });
     assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
 }
+
+/// The exchanges, by their connections, that got a release of a call.
+fn released_at(harness: &EngineHarness, call: u64) -> Vec<ExchangeConnId> {
+    let messages = harness.exchange_messages(call).into_iter();
+    messages.filter(|(_, message)| *message == RELEASE).map(|(exchange_conn, _)| exchange_conn).collect()
+}
+
+/// Guards against calls from before a restart that are left standing when their callers hang up.
+#[test]
+fn the_hang_up_of_a_call_from_before_the_start_is_sent_to_all_exchanges_once() {
+    let mut harness = EngineHarness::unconnected(3);
+    let (first, second) = (harness.exchange_conn(1), harness.exchange_conn(2));
+    harness.handle(Input::ExchangeConnected { exchange_conn: first, carries_calls: false });
+    hang_up(&mut harness, 1);
+    assert_eq!(released_at(&harness, 1), [first]);
+    harness.handle(Input::ExchangeConnected { exchange_conn: second, carries_calls: false });
+    assert_eq!(released_at(&harness, 1), [first, second]);
+    hang_up(&mut harness, 1);
+    assert_eq!(released_at(&harness, 1).len(), 2);
+    // Exchanges that do not know the call need not reply: their connections are not taken for dead.
+    harness.advance(5_000);
+    assert_eq!((harness.exchange_conn(1), harness.exchange_conn(2)), (first, second));
+}
+
+/// Guards against a flood of releases for hang-ups that concern no earlier call.
+#[test]
+fn hang_ups_of_calls_that_this_process_has_ended_or_refused_and_of_no_early_call_are_not_sent_to_exchanges() {
+    let mut harness = EngineHarness::new(3);
+    harness.place_call(1, 1, 1_500);
+    harness.end_call(1, 1, Outcome::Busy, Reason::UserBusy);
+    assert_eq!(harness.caller_messages(1).len(), 1);
+    harness.handle(Input::MalformedSetUp { caller_conn: CALLER_CONN, call: call_uid(2) });
+    harness.effects.clear();
+    for call in [1, 2] {
+        hang_up(&mut harness, call);
+        assert_eq!(released_at(&harness, call), [0_u64; 0]);
+    }
+    harness.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    harness.advance(600_000);
+    harness.handle(Input::CallerConnected { caller_conn: 9, front: Front::JsonLines });
+    harness.handle(Input::HangUp { caller_conn: 9, call: call_uid(3), cause: 16 });
+    assert_eq!(released_at(&harness, 3), [0_u64; 0]);
+}
