--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -294,6 +294,10 @@
             matches!(call.phase, Phase::Attempting { exchange, conn: None, .. }
             if exchange == id)
         };
+        // The list may have changed since the attempts began.
+        if self.is_unavailable(id) {
+            return self.fail_unsent_setups(id);
+        }
         for call in self.calls_where(unsent) {
             self.send_setup(call, effects);
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -891,6 +891,7 @@
 
     /// Starts an attempt if the rules allow it; otherwise the decision module is told that it was not sent.
     fn start_attempt(&mut self, id: CallId, to: ExchangeId, timeout: Duration, effects: &mut Vec<Effect>) {
+        let unavailable = self.is_unavailable(to);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let attempting_or_established = !matches!(call.phase, Phase::Waiting);
         if attempting_or_established {
@@ -903,13 +904,6 @@
         }
         call.attempt_count += 1;
         let paused = call.paused_until.is_some_and(|until| self.now < until);
-        let unavailable = self.exchanges.get(&to).is_none_or(|exchange| match exchange.readiness {
-            Readiness::Ready => false,
-            _ => {
-                elapsed(exchange.readiness_changed_at, self.now)
-                    >= self.exchange_drain_grace.mul_f64(DRAIN_GRACE_FRACTION)
-            }
-        });
         let own = self.exchanges.get(&to).is_some_and(|exchange| Some(exchange.number) == self.home);
         if paused
             || unavailable
@@ -949,6 +943,17 @@
         }
     }
 
+    /// Whether no set-up may be sent to an exchange: it is unknown, or was reported as draining or removed too long ago.
+    fn is_unavailable(&self, id: ExchangeId) -> bool {
+        self.exchanges.get(&id).is_none_or(|exchange| match exchange.readiness {
+            Readiness::Ready => false,
+            _ => {
+                elapsed(exchange.readiness_changed_at, self.now)
+                    >= self.exchange_drain_grace.mul_f64(DRAIN_GRACE_FRACTION)
+            }
+        })
+    }
+
     /// Sends the set-up of a call on the connection to its exchange.
     fn send_setup(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         let now = self.now;
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -398,6 +398,23 @@
     assert!(harness.effects.contains(&Effect::CloseExchangeConn { exchange_conn: draining }));
 }
 
+/// Guards against set-ups that are sent to a draining exchange because their connection comes up after the grace period.
+#[test]
+fn a_set_up_whose_connection_comes_up_late_is_not_sent_to_an_exchange_that_drains_by_then() {
+    for (drains_for_ms, sent) in [(100, 1), (250, 0)] {
+        let mut harness = EngineHarness::unconnected(2);
+        let mut config = engine_harness::config(2);
+        config.settings.drain_grace_ms = 250.0;
+        harness.handle(Input::Reload(Box::new(config)));
+        harness.place_call(1, 1, 3_000);
+        harness.handle(Input::List(vec![list_entry(1, Readiness::Draining)]));
+        harness.advance(drains_for_ms);
+        let exchange_conn = harness.exchange_conn(1);
+        harness.handle(Input::ExchangeConnected { exchange_conn, carries_calls: false });
+        assert_eq!(harness.setup_count(1), sent, "after {drains_for_ms} ms");
+    }
+}
+
 #[test]
 fn an_exchange_with_a_new_name_at_a_known_address_gets_its_own_connection() {
     let mut harness = EngineHarness::new(3);
