--- a/src/engine/restarts.rs
+++ b/src/engine/restarts.rs
@@ -63,19 +63,20 @@
     /// Compares a report of the state of the group on the open connection with the established calls. Circuits for all of
     /// them dispel the doubt.
     pub(super) fn compare_group_with_calls(&mut self, id: ExchangeId, exchange_conn: ExchangeConnId) {
-        let mismatch = self.circuits_are_missing(id);
-        let now = self.now;
-        let Some(exchange) = self.exchanges.get_mut(&id) else { return };
+        let Some(exchange) = self.exchanges.get(&id) else { return };
+        let Some(doubt) = exchange.doubt else { return };
         if exchange.conn != ConnState::Up(exchange_conn) {
             return;
         }
-        exchange.doubt = match (exchange.doubt, mismatch) {
-            (Some(doubt), Some(true)) => {
-                Some(Doubt { mismatch_since: doubt.mismatch_since.or(Some(now)), ..doubt })
-            }
-            (_, Some(false)) => None,
-            (doubt, _) => doubt,
+        let now = self.now;
+        let doubt = match self.circuits_are_missing(id) {
+            Some(true) => Some(Doubt { mismatch_since: doubt.mismatch_since.or(Some(now)), ..doubt }),
+            Some(false) => None,
+            None => Some(doubt),
         };
+        if let Some(exchange) = self.exchanges.get_mut(&id) {
+            exchange.doubt = doubt;
+        }
     }
 
     /// Whether fewer circuits to an exchange are in use than its established calls need; `None` if its group is unknown.
