--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, SystemTime};
 
 use super::releases::{Release, UnconfirmedRelease};
-use super::restarts::Doubt;
+use super::restarts::SuspectCalls;
 use super::{
     Call, CallId, Effect, Engine, Event, ExchangeConnId, ExchangeId, ListEntry, ListUpdateKind,
     ListedExchange, Number, Outcome, Phase, RECONNECT_DELAY, REMOVAL_GRACE, REMOVED_EXCHANGE_RETENTION,
@@ -84,8 +84,8 @@
     pub(super) pending_releases: Vec<Release>,
     reconnect_scheduled: bool,
     check_scheduled: bool,
-    /// Whether its established calls may have ended without a report.
-    pub(super) doubt: Option<Doubt>,
+    /// Its established calls that may have ended without a report.
+    pub(super) suspect_calls: Option<SuspectCalls>,
     /// Whether it has reported the state of its group unasked.
     reports_group: bool,
     /// Free circuits and size of its group, as last reported.
@@ -139,7 +139,7 @@
                 pending_releases: Vec::new(),
                 reconnect_scheduled: false,
                 check_scheduled: false,
-                doubt: None,
+                suspect_calls: None,
                 reports_group: false,
                 group: None,
             });
@@ -321,7 +321,7 @@
         } else {
             exchange.conn = ConnState::Down;
         }
-        exchange.doubt = Some(Doubt::about_calls_until(now));
+        exchange.suspect_calls = Some(SuspectCalls::established_until(now));
         let unreachable_since = *exchange.unreachable_since.get_or_insert(now);
         let is_over = elapsed(unreachable_since, now) >= MAX_UNREACHABLE_TIME;
         if exchange.conn == ConnState::Down {
--- a/src/engine/restarts.rs
+++ b/src/engine/restarts.rs
@@ -17,19 +17,18 @@
 /// Tolerance in the comparison of circuits.
 const CIRCUIT_TOLERANCE: f64 = 0.5;
 
-/// What is not certain about the established calls of an exchange after an attempt to connect to it has failed.
+/// The established calls of an exchange that may have ended, since an attempt to connect to it has failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Doubt {
+pub(super) struct SuspectCalls {
     /// Calls established before this time may have ended with an earlier process.
     established_before: SystemTime,
     /// Since when the reported state of the group has shown that some of them have ended.
     mismatch_since: Option<SystemTime>,
 }
 
-impl Doubt {
-    /// The doubt about the calls that are established at this time, after a failed attempt to connect: another process may
-    /// answer the next one.
-    pub(super) fn about_calls_until(now: SystemTime) -> Self {
+impl SuspectCalls {
+    /// The calls that are established at this time: another process may answer the next attempt to connect.
+    pub(super) fn established_until(now: SystemTime) -> Self {
         Self { established_before: now, mismatch_since: None }
     }
 }
@@ -61,21 +60,23 @@
     }
 
     /// Compares a report of the state of the group on the open connection with the established calls. Circuits for all of
-    /// them dispel the doubt.
+    /// them end the suspicion.
     pub(super) fn compare_group_with_calls(&mut self, id: ExchangeId, exchange_conn: ExchangeConnId) {
         let Some(exchange) = self.exchanges.get(&id) else { return };
-        let Some(doubt) = exchange.doubt else { return };
+        let Some(suspects) = exchange.suspect_calls else { return };
         if exchange.conn != ConnState::Up(exchange_conn) {
             return;
         }
         let now = self.now;
-        let doubt = match self.circuits_are_missing(id) {
-            Some(true) => Some(Doubt { mismatch_since: doubt.mismatch_since.or(Some(now)), ..doubt }),
+        let suspects = match self.circuits_are_missing(id) {
+            Some(true) => {
+                Some(SuspectCalls { mismatch_since: suspects.mismatch_since.or(Some(now)), ..suspects })
+            }
             Some(false) => None,
-            None => Some(doubt),
+            None => Some(suspects),
         };
         if let Some(exchange) = self.exchanges.get_mut(&id) {
-            exchange.doubt = doubt;
+            exchange.suspect_calls = suspects;
         }
     }
 
@@ -88,18 +89,20 @@
         Some(in_use + CIRCUIT_TOLERANCE < needed)
     }
 
-    /// Cuts the calls in doubt once the state of the group has shown for `MISMATCH_TIME` that they have ended.
+    /// Cuts the suspect calls once the state of the group has shown for `MISMATCH_TIME` that they have ended.
     pub(super) fn cut_calls_after_mismatch(&mut self, id: ExchangeId, effects: &mut Vec<Effect>) {
-        let Some(doubt) = self.exchanges.get(&id).and_then(|exchange| exchange.doubt) else { return };
-        if doubt.mismatch_since.is_none_or(|since| elapsed(since, self.now) < MISMATCH_TIME) {
+        let Some(suspects) = self.exchanges.get(&id).and_then(|exchange| exchange.suspect_calls) else {
+            return;
+        };
+        if suspects.mismatch_since.is_none_or(|since| elapsed(since, self.now) < MISMATCH_TIME) {
             return;
         }
         if let Some(exchange) = self.exchanges.get_mut(&id) {
-            exchange.doubt = None;
+            exchange.suspect_calls = None;
         }
         if self.circuits_are_missing(id) == Some(true) {
-            let in_doubt = |call: &Call| call.is_established_before(id, doubt.established_before);
-            self.cut_calls(id, self.calls_where(in_doubt), effects);
+            let is_suspect = |call: &Call| call.is_established_before(id, suspects.established_before);
+            self.cut_calls(id, self.calls_where(is_suspect), effects);
         }
     }
 }
