--- a/src/engine/restarts.rs
+++ b/src/engine/restarts.rs
@@ -14,8 +14,9 @@
 /// How long a group must have too few circuits in use for the established calls before they count as gone. The ends of
 /// some may be on their way.
 const MISMATCH_TIME: Duration = Duration::from_secs(1);
-/// Tolerance in the comparison of circuits.
-const CIRCUIT_TOLERANCE: f64 = 0.5;
+/// Share of the circuits of the established calls below which the circuits in use show that another process runs. The ends
+/// of some calls may be lost while the others stand.
+const MIN_SHARE_IN_USE: f64 = 0.5;
 
 /// The established calls of an exchange that may have ended, since an attempt to connect to it has failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,13 +81,14 @@
         }
     }
 
-    /// Whether fewer circuits to an exchange are in use than its established calls need; `None` if its group is unknown.
+    /// Whether too few circuits to an exchange are in use for most of its established calls to stand; `None` if its group is
+    /// unknown.
     fn circuits_are_missing(&self, id: ExchangeId) -> Option<bool> {
         let (free, total) = self.exchanges.get(&id)?.group.filter(|(_, total)| *total > 0)?;
         let established = self.calls.values().filter(|call| call.is_established_at(id));
         let needed: f64 = established.map(|call| call.width).sum();
         let in_use = f64::from(total.saturating_sub(free));
-        Some(in_use + CIRCUIT_TOLERANCE < needed)
+        Some(in_use < MIN_SHARE_IN_USE * needed)
     }
 
     /// Cuts the suspect calls once the state of the group has shown for `MISMATCH_TIME` that they have ended.
