--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -135,6 +135,13 @@
         }
     }
 
+    /// Forgets all releases that were sent on the open connection to an exchange.
+    pub(super) fn forget_unconfirmed_releases(&mut self, id: ExchangeId) {
+        for conn in self.exchange_conns.values_mut().filter(|conn| conn.exchange == id) {
+            conn.unconfirmed_releases.clear();
+        }
+    }
+
     /// Sends the unconfirmed releases of a lost connection again, on the connection that is open now or on the next one.
     pub(super) fn resend_releases(&mut self, lost: ExchangeConn, effects: &mut Vec<Effect>) {
         for sent in lost.unconfirmed_releases {
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -222,12 +222,14 @@
         let without_use: Vec<ExchangeId> =
             self.exchanges.keys().copied().filter(|id| self.leaves_exchange_to_next_process(*id)).collect();
         for id in without_use {
+            // What was sent is delivered before the close.
+            self.forget_unconfirmed_releases(id);
             self.close_exchange_conns(id, effects);
         }
     }
 
     /// Whether this process must not open a connection to an exchange, because it stops or drains and could not pass on what
-    /// arrives there. The exchange repeats the release of a call on the next connection only, which has to be the one of
+    /// arrives there: no caller is connected, or the last caller connection is being closed. The exchange repeats the release of a call on the next connection only, which has to be the one of
     /// the next process.
     pub(super) fn leaves_exchange_to_next_process(&self, id: ExchangeId) -> bool {
         let has_iax2_caller = |call: &Call| {
@@ -238,7 +240,7 @@
         let awaits_release =
             self.exchanges.get(&id).is_some_and(|exchange| !exchange.pending_releases.is_empty());
         (self.stopping_since.is_some() || self.operator_drain_since.is_some())
-            && !self.has_json_lines_callers()
+            && (self.release_time_is_over() || !self.has_json_lines_callers())
             && !awaits_release
             && !self.calls.values().any(has_iax2_caller)
     }
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -44,6 +44,26 @@
     assert!(harness.effects.contains(&Effect::Exit));
 }
 
+/// Guards against releases that arrive in the last ms before the kill, while a connection that a caller has just written to
+/// is still open, or after a connection was opened for a hang-up that is not confirmed.
+#[test]
+fn exchanges_are_left_to_the_next_process_although_a_caller_connection_is_still_open() {
+    let mut harness = EngineHarness::new(3);
+    for call in [1, 2] {
+        establish(&mut harness, call, CALLER_CONN);
+    }
+    let exchange_conn = harness.exchange_conn(1);
+    harness.handle(Input::Stop);
+    harness.advance(3_000);
+    harness.handle(Input::ExchangeActivity { exchange_conn });
+    harness.handle(Input::HangUp { caller_conn: CALLER_CONN, call: call_uid(2), cause: 16 });
+    let requested = requested_conns(&harness);
+    harness.advance(690);
+    assert!(harness.effects.contains(&Effect::CloseExchangeConn { exchange_conn }));
+    harness.advance(5_000);
+    assert_eq!(requested_conns(&harness), requested);
+}
+
 /// Guards against hang-ups that a process without connections to exchanges does not pass on.
 #[test]
 fn a_hang_up_reaches_its_exchange_after_the_connections_were_left_to_the_next_process() {
