--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds the stand-ins and tests of the second review, after the build of the deploy file. They need the compiler and the
+# standard library only, and nothing from a registry.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc --edition 2024 -O -o target/review-2/review-2 review/stand-ins-2/main.rs
