--- a/review/stand-ins-2/case_crowd.rs
+++ b/review/stand-ins-2/case_crowd.rs
@@ -1,11 +1,12 @@
 //! A crowd connects and says nothing while calls of a usual caller stand; the calls end.
 
-use std::io::Read;
-use std::net::TcpStream;
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::caller::Client;
 use crate::case_restart::place_standing_calls;
@@ -17,7 +18,10 @@
 
 const CALLS: usize = 4;
 /// The pages say hundreds of bad clients, and crowds of thousands.
-const CROWD: usize = 300;
+const CROWD: usize = 600;
+const CROWD_THREADS: usize = 4;
+/// Time after which a silent client whose connection was closed connects again.
+const CONNECT_AGAIN_AFTER: Duration = Duration::from_millis(500);
 /// A call that is over must be released towards its client within this time of its end, if no release could be sent.
 const RELEASE_LIMIT_S: f64 = 8.0;
 /// Time limits are 50 ms longer on sockets.
@@ -49,25 +53,10 @@
     let is_over = Arc::new(AtomicBool::new(false));
     if trouble {
         record.note("test", &format!("{CROWD} clients connect and say nothing"));
-        for i in 0..CROWD {
+        for first in (0..CROWD).step_by(CROWD / CROWD_THREADS) {
             let (address, is_over, record) = (platform.listen, is_over.clone(), record.clone());
             thread::spawn(move || {
-                // Each connects, reads, and connects again once it was closed.
-                while !is_over.load(Ordering::Relaxed) {
-                    let Ok(mut stream) = TcpStream::connect(address) else { return };
-                    let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-                    let mut received = [0; 4096];
-                    while let Ok(length) = stream.read(&mut received)
-                        && length > 0
-                    {
-                        let text = String::from_utf8_lossy(&received[..length]);
-                        record.note(
-                            &format!("client {i} of the crowd"),
-                            &format!("receives: {}", text.trim_end()),
-                        );
-                    }
-                    thread::sleep(Duration::from_millis(500));
-                }
+                be_silent(address, first..first + CROWD / CROWD_THREADS, &is_over, &record)
             });
         }
     }
@@ -105,3 +94,35 @@
     softswitch.kill();
     Ok(if broken.is_empty() { Verdict::Held } else { Verdict::Broken(broken) })
 }
+
+/// Clients that connect, say nothing and read; each connects again some time after it was closed.
+fn be_silent(address: SocketAddr, members: Range<usize>, is_over: &AtomicBool, record: &Record) {
+    let connect = || {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(stream)
+    };
+    let mut crowd: Vec<(usize, Option<TcpStream>, Instant)> =
+        members.map(|member| (member, connect(), Instant::now())).collect();
+    let mut received = [0; 4096];
+    while !is_over.load(Ordering::Relaxed) {
+        for (member, stream, closed_at) in &mut crowd {
+            let Some(open) = stream else {
+                if closed_at.elapsed() >= CONNECT_AGAIN_AFTER {
+                    (*stream, *closed_at) = (connect(), Instant::now());
+                }
+                continue;
+            };
+            match open.read(&mut received) {
+                Ok(length) if length > 0 => {
+                    let text = String::from_utf8_lossy(&received[..length]);
+                    let who = format!("client {member} of the crowd");
+                    record.note(&who, &format!("receives: {}", text.trim_end()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                _ => (*stream, *closed_at) = (None, Instant::now()),
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/review/stand-ins-2/case_flood.rs
+++ b/review/stand-ins-2/case_flood.rs
@@ -16,7 +16,7 @@
 use crate::{RUN_LIMIT, Verdict, sleep_until};
 
 /// The limit of the configuration. The pages give 32 to 192 MB, half of that on some days.
-const MEMORY_MB: u32 = 48;
+const MEMORY_MB: u32 = 40;
 /// Bad clients, with one connection each; the pages say hundreds.
 const BAD_CLIENTS: usize = 40;
 /// Set-ups that each of them has open at a time; the pages say hundreds at once.
