--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/swiftlb target/review-2/review-2; do
     [ -x "$program" ] || { echo "$program is missing: run the build of the deploy file and review/build-2.sh"; exit 2; }
 done
-exec target/review-2/review-2 slow-writer review/10/record.txt
+exec target/review-2/review-2 drain review/10/record.txt
