Review: releases that wait for a caller are lost with a planned restart

Cause: in a quiet time the process opens a second connection to the exchange and so takes the repetition of the releases that the next process would need; it ends with the releases. Change: a case with its test.

--- a/review/stand-ins-2/exchange.rs
+++ b/review/stand-ins-2/exchange.rs
@@ -38,6 +38,8 @@
     answered: BTreeMap<String, f64>,
     ended: BTreeMap<String, f64>,
     released: BTreeMap<String, f64>,
+    /// How long the calls last that are set up from now on.
+    hold: Duration,
     is_dead: bool,
 }
 
@@ -56,7 +58,7 @@
     pub fn start(name: &str, habits: Habits, record: &Record) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State { hold: habits.hold, ..State::default() }));
         let this = Self { name: name.to_owned(), address, habits, record: record.clone(), state };
         let acceptor = this.clone();
         thread::spawn(move || acceptor.accept(listener));
@@ -134,11 +136,11 @@
                 state.launches.push((self.record.now(), call.clone(), body));
                 state.open.insert(call.clone(), connection);
                 self.report_group(&mut state);
-                let this = self.clone();
+                let (this, hold) = (self.clone(), state.hold);
                 thread::spawn(move || {
                     thread::sleep(this.habits.answer_after);
                     if this.answer(connection, &call) {
-                        thread::sleep(this.habits.hold);
+                        thread::sleep(hold);
                         this.end(&call);
                     }
                 });
@@ -216,6 +218,11 @@
         let _ = TcpStream::connect(self.address);
     }
 
+    /// Sets how long the calls last that are set up from now on.
+    pub fn set_hold(&self, hold: Duration) {
+        self.state.lock().unwrap().hold = hold;
+    }
+
     /// Set-ups that arrived: the time, the call, and the description.
     pub fn launches(&self) -> Vec<(f64, String, String)> {
         self.state.lock().unwrap().launches.clone()
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and the tests of the second review. `review/build-2.sh` builds it; each `run.sh` starts it from the root
-//! of the repository: `review-2 CASE RECORD-FILE`. The exit code is 1 if the rule was broken, 0 if it held, and 2 if the
-//! case could not run. With `TROUBLE=0` the disruption is left out.
+//! of the repository: `review-2 NAME RECORD-FILE`. The exit code is 1 if the rule was broken, 0 if it held, and 2 if the
+//! case could not run. With `TROUBLE=0` the disruption is left out. `restart` and `orphans` are faults of the report that
+//! are no cases.
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -13,6 +14,7 @@
 mod case_drain;
 mod case_flood;
 mod case_orphans;
+mod case_quiet_restart;
 mod case_restart;
 mod case_same_id;
 mod case_slow_writer;
@@ -52,6 +54,7 @@
         "restart" => case_restart::run(trouble, &record),
         "orphans" => case_orphans::run(trouble, &record),
         "flood" => case_flood::run(trouble, &record),
+        "quiet-restart" => case_quiet_restart::run(trouble, &record),
         "crowd" => case_crowd::run(trouble, &record),
         "same-id" => case_same_id::run(trouble, &record),
         "drain" => case_drain::run(trouble, &record),
