Review: both orders of drain and replacement in case 10

Cause: an operator may drain the softswitch before its process is replaced or while both processes run. Change: a second scene, in which the drain is ordered at the new process and a client goes on using its connection to the old one; the processes of all scenes are ended when a run takes too long.

--- a/review/stand-ins-2/case_drain.rs
+++ b/review/stand-ins-2/case_drain.rs
@@ -1,4 +1,5 @@
-//! An operator drains the softswitch, and the platform replaces its process while the drain lasts.
+//! An operator drains the softswitch, and the platform replaces its process: first the drain and then the replacement, and,
+//! with new processes, the other way round.
 
 use std::time::Duration;
 
@@ -12,7 +13,18 @@
 /// From this time after the order to drain on, a yes at the clients' address breaks the rule.
 const DRAINED_AFTER_S: f64 = 4.0;
 
+/// The same for a client's connection that is held idle or with a request from the last 2 s, with the slack of the pages.
+const CLOSED_AFTER_S: f64 = 4.05;
+
 pub fn run(trouble: bool, record: &Record) -> Result<Verdict, String> {
+    let mut broken = drain_first(trouble, record)?;
+    broken.extend(replacement_first(trouble, record)?);
+    Ok(if broken.is_empty() { Verdict::Held } else { Verdict::Broken(broken) })
+}
+
+/// The platform replaces the process 1 s after the operator's order.
+fn drain_first(trouble: bool, record: &Record) -> Result<Vec<String>, String> {
+    record.note("test", "first scene: the drain, then the replacement");
     let fail = |error: std::io::Error| error.to_string();
     let platform = Platform::new(true, record).map_err(fail)?;
     platform.limit_run(RUN_LIMIT);
@@ -89,7 +101,66 @@
     }
     old.kill();
     Ok(match broken.len() {
-        0 => Verdict::Held,
-        count => Verdict::Broken(vec![broken[0].clone(), format!("{count} times until 7 s after the order")]),
+        0 => Vec::new(),
+        count => vec![broken[0].clone(), format!("{count} times until 7 s after the order")],
+    })
+}
+
+/// The operator orders the drain 0.3 s after the new process has said yes, at its door.
+fn replacement_first(trouble: bool, record: &Record) -> Result<Vec<String>, String> {
+    record.note("test", "second scene: the replacement, then the drain");
+    let fail = |error: std::io::Error| error.to_string();
+    let platform = Platform::new(true, record).map_err(fail)?;
+    let habits = Habits { answer_after: Duration::from_millis(20), hold: Duration::from_secs(1) };
+    let exchange = Exchange::start("exchange 1", habits, record).map_err(fail)?;
+    let resolver = Resolver::start(vec![
+        Member::new("s-own", "127.0.0.1:9".parse().unwrap(), "wien", 0),
+        Member::new("s-one", exchange.address, "linz", 1),
+    ])
+    .map_err(fail)?;
+    platform.write_config(&resolver, Limits { memory_mb: 96, sockets: 512 }).map_err(fail)?;
+    let mut processes = vec![platform.start("old process of scene 2")?];
+    let client = Client::new("caller", platform.listen, record);
+    let line = client.connect().map_err(fail)?;
+    let use_line_until = |until: f64| {
+        let mut last_answer = None;
+        while record.now() < until && client.closed_at(&line).is_none() {
+            let call = line.launch("fault-lookup", 1, 6_000);
+            if client.wait(&call, Duration::from_millis(400)).is_some_and(|answer| answer.kind == "running") {
+                last_answer = Some(record.now());
+            }
+            sleep_until(record, until.min(record.now() + 0.5));
+        }
+        last_answer
+    };
+    use_line_until(record.now() + 1.0);
+    if trouble {
+        let new = platform.start("new process of scene 2")?;
+        processes.push(new);
+    }
+    let ready_at = record.now();
+    use_line_until(ready_at + 0.3);
+    let draining = processes.last().ok_or("no process")?;
+    if draining.operator_request("PUT", "/ops/drain/start") != Some(200) {
+        return Err("the operator's request fails".to_owned());
+    }
+    let drained_at = record.now();
+    // The connection has stayed open, and the client goes on using it. SIGTERM reaches the old process within 6 s.
+    let last_answer = use_line_until(drained_at + 5.0);
+    if trouble {
+        processes[0].signal("TERM");
+    }
+    let closed_at = client.closed_at(&line).filter(|at| *at <= drained_at + CLOSED_AFTER_S);
+    for process in &mut processes {
+        platform.record_log(&process.name.clone());
+        process.kill();
+    }
+    Ok(match (closed_at, last_answer) {
+        (None, Some(at)) if at > drained_at + CLOSED_AFTER_S => vec![format!(
+            "the other way round: a client's connection is open {CLOSED_AFTER_S} s after the order to drain, and its set-ups \
+             are served on it, the last one after {:.1} s",
+            at - drained_at
+        )],
+        _ => Vec::new(),
     })
 }
--- a/review/stand-ins-2/platform.rs
+++ b/review/stand-ins-2/platform.rs
@@ -6,13 +6,16 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
 use crate::record::Record;
 use crate::resolver::{Member, Resolver};
 
+/// The processes that this test has started.
+static PIDS: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// A process of the softswitch.
 pub struct Process {
     pub name: String,
@@ -29,7 +32,6 @@
     /// The listening socket, on days on which the processes inherit it.
     inherited: Option<TcpListener>,
     record: Record,
-    pids: Arc<Mutex<Vec<u32>>>,
 }
 
 /// Limits that the configuration gives.
@@ -55,17 +57,16 @@
             (free_address()?, None)
         };
         let root = std::env::current_dir()?;
-        let pids = Arc::new(Mutex::new(Vec::new()));
-        Ok(Self { root, folder, listen, inherited, record: record.clone(), pids })
+        Ok(Self { root, folder, listen, inherited, record: record.clone() })
     }
 
     /// Ends everything that was started, and the test with code 2, if the run takes longer than this.
     pub fn limit_run(&self, limit: Duration) {
-        let (pids, folder, record) = (self.pids.clone(), self.folder.clone(), self.record.clone());
+        let (folder, record) = (self.folder.clone(), self.record.clone());
         thread::spawn(move || {
             thread::sleep(limit);
             record.say("the run takes too long");
-            pids.lock().unwrap().iter().for_each(|pid| signal(*pid, "KILL"));
+            PIDS.lock().unwrap().iter().for_each(|pid| signal(*pid, "KILL"));
             let _ = fs::remove_dir_all(folder);
             std::process::exit(2);
         });
@@ -131,7 +132,7 @@
             }
         }
         let child = command.spawn().map_err(|error| format!("cannot start {name}: {error}"))?;
-        self.pids.lock().unwrap().push(child.id());
+        PIDS.lock().unwrap().push(child.id());
         self.record.note("platform", &format!("starts {name}"));
         let mut process = Process { name: name.to_owned(), child, operator, record: self.record.clone() };
         for _ in 0..600 {
@@ -246,6 +247,7 @@
             signal(self.child.id(), "KILL");
             let _ = self.child.wait();
         }
+        PIDS.lock().unwrap().retain(|pid| *pid != self.child.id());
     }
 }
 
