Review: case 8 counts the releases that strangers get

Cause: the record alone showed them. Change: the test counts what the crowd receives and names it beside the calls that were not released.

--- a/review/stand-ins-2/case_crowd.rs
+++ b/review/stand-ins-2/case_crowd.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -51,12 +51,14 @@
     sleep_until(record, record.now() + 0.5);
 
     let is_over = Arc::new(AtomicBool::new(false));
+    let strangers_got = Arc::new(AtomicUsize::new(0));
     if trouble {
         record.note("test", &format!("{CROWD} clients connect and say nothing"));
         for first in (0..CROWD).step_by(CROWD / CROWD_THREADS) {
-            let (address, is_over, record) = (platform.listen, is_over.clone(), record.clone());
+            let (address, is_over, got, record) =
+                (platform.listen, is_over.clone(), strangers_got.clone(), record.clone());
             thread::spawn(move || {
-                be_silent(address, first..first + CROWD / CROWD_THREADS, &is_over, &record)
+                be_silent(address, first..first + CROWD / CROWD_THREADS, &is_over, &got, &record)
             });
         }
     }
@@ -90,13 +92,24 @@
             )),
         }
     }
+    let strangers_got = strangers_got.load(Ordering::Relaxed);
+    if !broken.is_empty() && strangers_got > 0 {
+        broken
+            .push(format!("{strangers_got} releases went to clients of the crowd, which have sent nothing"));
+    }
     platform.record_log("softswitch");
     softswitch.kill();
     Ok(if broken.is_empty() { Verdict::Held } else { Verdict::Broken(broken) })
 }
 
 /// Clients that connect, say nothing and read; each connects again some time after it was closed.
-fn be_silent(address: SocketAddr, members: Range<usize>, is_over: &AtomicBool, record: &Record) {
+fn be_silent(
+    address: SocketAddr,
+    members: Range<usize>,
+    is_over: &AtomicBool,
+    got: &AtomicUsize,
+    record: &Record,
+) {
     let connect = || {
         let stream = TcpStream::connect(address).ok()?;
         stream.set_nonblocking(true).ok()?;
@@ -116,8 +129,10 @@
             match open.read(&mut received) {
                 Ok(length) if length > 0 => {
                     let text = String::from_utf8_lossy(&received[..length]);
-                    let who = format!("client {member} of the crowd");
-                    record.note(&who, &format!("receives: {}", text.trim_end()));
+                    got.fetch_add(text.lines().count(), Ordering::Relaxed);
+                    for line in text.lines() {
+                        record.note(&format!("client {member} of the crowd"), &format!("receives: {line}"));
+                    }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 _ => (*stream, *closed_at) = (None, Instant::now()),
