--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds the stand-ins and tests of the second review, after the build of the deploy file. They need the compiler and the
-# standard library only, and nothing from a registry.
+# standard library alone.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
