Bound the memory that set-ups which are turned away leave behind

Cause: the id of every ended or refused call stayed in a queue and a set for 30 s without a limit, and its overdue timer in the heap until the caller's deadline, because timers could not be cancelled. The time-outs of attempts and the idle checks of caller connections were kept as well.

Change: engine/timers.rs has timers with keys; calls and connections cancel theirs when they end. engine/ended_calls.rs keeps the ids of attempted calls and of others apart, each with a limit, and reports in the log what it forgets early. Refused set-ups cannot displace the ids of calls that an exchange knows.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -7,7 +7,8 @@
 use super::exchanges::{ConnState, SETUP_SILENCE_LIMIT};
 use super::{
     CallId, CallUid, CallerMessage, Effect, Engine, Event, ExchangeConnId, ExchangeId, ExchangeMessage,
-    Front, NO_CALLER_CONN, Outcome, Phase, Readiness, Reason, SiblingMessage, Timer, duration_to_ms, elapsed,
+    Front, NO_CALLER_CONN, Outcome, Phase, Readiness, Reason, SiblingMessage, Timer, TimerKey,
+    duration_to_ms, elapsed,
 };
 use swiftlb_record::ReleasedBy;
 
@@ -57,7 +58,8 @@
         let timeout = if timeout.is_zero() { remaining } else { timeout.min(remaining) };
         let attempt = call.attempt_count;
         call.phase = Phase::Attempting { exchange: to, sent_at: self.now, conn: None };
-        self.set_timer(timeout, Timer::AttemptTimeout(id, attempt));
+        let attempt_timer = self.set_timer(timeout, Timer::AttemptTimeout(id, attempt));
+        self.replace_attempt_timer(id, Some(attempt_timer));
         let connected =
             self.exchanges.get(&to).is_some_and(|exchange| matches!(exchange.conn, ConnState::Up(_)));
         self.record_attempt(id, to, !connected);
@@ -75,6 +77,20 @@
         }
     }
 
+    /// Replaces the time-out of the last attempt of a call.
+    fn replace_attempt_timer(&mut self, id: CallId, timer: Option<TimerKey>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let previous = std::mem::replace(&mut call.attempt_timer, timer);
+        self.timers.cancel(previous);
+    }
+
+    /// Cancels the timers of a call that has its final outcome.
+    fn cancel_call_timers(&mut self, id: CallId) {
+        self.replace_attempt_timer(id, None);
+        let overdue_timer = self.calls.get_mut(&id).and_then(|call| call.overdue_timer.take());
+        self.timers.cancel(overdue_timer);
+    }
+
     /// Whether no set-up may be sent to an exchange: it is unknown, or was reported as draining or removed too long ago.
     pub(super) fn is_unavailable(&self, id: ExchangeId) -> bool {
         self.exchanges.get(&id).is_none_or(|exchange| match exchange.readiness {
@@ -257,6 +273,7 @@
         if let Some(conn) = self.caller_conns.get_mut(&caller_conn) {
             conn.served_call = true;
         }
+        self.cancel_call_timers(id);
         effects.push(Effect::ToCaller {
             caller_conn,
             call,
@@ -277,7 +294,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.mark_active(exchange_conn);
-        let unknown = !self.call_ids.contains_key(&uid) && !self.ended_call_uids.contains(&uid);
+        let unknown = !self.call_ids.contains_key(&uid) && !self.ended_calls.contains(&uid);
         if unknown && self.exchange_conns.contains_key(&exchange_conn) {
             if self.sibling.is_some() && matches!(outcome, Outcome::Completed | Outcome::Reset) {
                 let cut = outcome == Outcome::Reset;
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Call, CallUid, CallerConnId, CallerMessage, Effect, Engine, Front, NO_CALLER_CONN, Phase, SiblingMessage,
-    Timer, elapsed,
+    Timer, TimerKey, elapsed,
 };
 use swiftlb_record::FailureReason;
 
@@ -45,6 +45,8 @@
     /// Whether an exchange answered a call that arrived on it.
     pub(super) served_call: bool,
     pub(super) malformed_count: u32,
+    /// The timer for the next check whether it is idle.
+    idle_timer: Option<TimerKey>,
 }
 
 /// A release to be sent to a caller.
@@ -130,7 +132,7 @@
     /// Handles the close of a caller connection. The set-ups open on it are abandoned; an established call does not
     /// depend on its connection and continues.
     pub(super) fn caller_disconnected(&mut self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
-        self.caller_conns.remove(&caller_conn);
+        self.remove_caller_conn(caller_conn);
         let open =
             |call: &Call| call.caller_conn == caller_conn && !matches!(call.phase, Phase::Established { .. });
         for id in self.calls_where(open) {
@@ -153,8 +155,10 @@
                 effects.push(Effect::CloseCallerConn { caller_conn });
                 return;
             }
-            self.set_timer(FIRST_LINE_TIMEOUT, Timer::CheckIdle(caller_conn));
         }
+        let is_checked = front == Front::JsonLines;
+        let idle_timer =
+            is_checked.then(|| self.set_timer(FIRST_LINE_TIMEOUT, Timer::CheckIdle(caller_conn)));
         let new = CallerConn {
             front,
             last_received: self.now,
@@ -162,6 +166,7 @@
             health_checks_only: false,
             served_call: false,
             malformed_count: 0,
+            idle_timer,
         };
         self.caller_conns.insert(caller_conn, new);
         self.send_caller_releases(effects);
@@ -194,11 +199,18 @@
 
     pub(super) fn close_caller_conn(&mut self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
         if self.caller_conns.get(&caller_conn).is_some_and(|conn| conn.front == Front::JsonLines) {
-            self.caller_conns.remove(&caller_conn);
+            self.remove_caller_conn(caller_conn);
             effects.push(Effect::CloseCallerConn { caller_conn });
         }
     }
 
+    /// Removes a caller connection and cancels its timer.
+    fn remove_caller_conn(&mut self, caller_conn: CallerConnId) {
+        if let Some(conn) = self.caller_conns.remove(&caller_conn) {
+            self.timers.cancel(conn.idle_timer);
+        }
+    }
+
     /// Registers that a message about a call arrived on a caller connection.
     pub(super) fn caller_message_received(&mut self, caller_conn: CallerConnId, effects: &mut Vec<Effect>) {
         let now = self.now;
@@ -215,12 +227,16 @@
         let limit =
             if conn.sent_call_message || conn.health_checks_only { IDLE_TIMEOUT } else { FIRST_LINE_TIMEOUT };
         let idle = elapsed(conn.last_received, self.now);
-        if self.calls.values().any(|call| call.caller_conn == caller_conn) {
-            self.set_timer(IDLE_TIMEOUT, Timer::CheckIdle(caller_conn));
+        let next_check = if self.calls.values().any(|call| call.caller_conn == caller_conn) {
+            IDLE_TIMEOUT
         } else if idle < limit {
-            self.set_timer(limit - idle, Timer::CheckIdle(caller_conn));
+            limit - idle
         } else {
-            self.close_caller_conn(caller_conn, effects);
+            return self.close_caller_conn(caller_conn, effects);
+        };
+        let idle_timer = self.set_timer(next_check, Timer::CheckIdle(caller_conn));
+        if let Some(conn) = self.caller_conns.get_mut(&caller_conn) {
+            conn.idle_timer = Some(idle_timer);
         }
     }
 
@@ -235,7 +251,7 @@
         if self.call_ids.contains_key(&uid) {
             return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
         }
-        self.remember_ended(uid);
+        self.remember_turned_away(uid);
         effects.push(Effect::ToCaller {
             caller_conn,
             call: uid,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,8 +11,7 @@
 //! - no attempt is started at an exchange that has been draining, or removed from the list, for
 //!   `DRAIN_GRACE_FRACTION` of the grace period.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -28,6 +27,7 @@
 
 mod attempts;
 mod callers;
+mod ended_calls;
 mod exchanges;
 mod messages;
 mod recording;
@@ -36,8 +36,10 @@
 mod shutdown;
 mod sibling;
 mod status;
+mod timers;
 
 use callers::{CallerConn, CallerRelease, UNREAD_REPORT_WINDOW};
+use ended_calls::EndedCalls;
 use exchanges::{ConnState, Exchange, ExchangeConn};
 pub use messages::{
     CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, HandoverState,
@@ -47,6 +49,7 @@
 use shutdown::ShutdownDeadline;
 use sibling::Role;
 use swiftlb_record::{Event as RecordEvent, FailureReason, RefusalReason, ReleasedBy};
+use timers::{Timer, TimerKey, TimerQueue};
 
 /// Time after a caller's deadline at which the engine fails the call if the decision module has not decided on its
 /// final outcome. Callers on sockets must get it within 50 ms of the deadline.
@@ -64,9 +67,6 @@
 const MAX_OPEN_SETUPS: usize = 1_000;
 /// Maximum size of the descriptions of all open set-ups, in bytes.
 const MAX_OPEN_DESCRIPTION_BYTES: usize = 4 << 20;
-/// How long the id of an ended call is kept. It distinguishes late messages about that call from messages about a
-/// call that was established before this process started.
-const ENDED_CALL_RETENTION: Duration = Duration::from_secs(30);
 /// Time after its start from which a process may be ready although connections to exchanges are still being opened.
 const MAX_CONNECT_WAIT: Duration = Duration::from_secs(1);
 /// Time after its start from which a process may be ready although the resolver has not confirmed the list of
@@ -100,40 +100,6 @@
     to.duration_since(from).unwrap_or_default()
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// A timer of the decision module, with its tag.
-    Controller(u64),
-    /// An attempt of a call times out; attempts count from 1 here.
-    AttemptTimeout(CallId, u32),
-    /// The decision module is late with the final outcome of a call.
-    DecisionOverdue(CallId),
-    /// Open another connection to an unreachable exchange.
-    Reconnect(ExchangeId),
-    /// Close the connections to an exchange that was removed from the list, and later drop its state.
-    RemoveExchange(ExchangeId),
-    /// Periodic check of the connection to an exchange.
-    CheckExchange(ExchangeId),
-    /// Check whether anything was received on a connection since a set-up was sent on it.
-    CheckSilence(ExchangeConnId),
-    /// Check whether a caller connection is idle.
-    CheckIdle(CallerConnId),
-    /// Try again to send the releases that wait for a caller connection.
-    CallerReleases,
-    /// Check whether the process can exit after a request to stop.
-    CheckStopped,
-    /// End all open set-ups, and close caller connections from now on, before the process may be killed.
-    ShutdownDeadline,
-    /// Close caller connections that are no longer in use, for the operator's drain that started at this time.
-    DrainCallers(SystemTime),
-    /// Check whether the process can begin to serve.
-    CheckReady,
-    /// Close idle caller connections and exit once nothing is left, after a request to stop while a successor serves.
-    StopForSuccessor,
-    /// Record the expected delays of the exchanges, and changes of other values that are sampled.
-    Sample,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// No attempt is open.
@@ -166,6 +132,10 @@
     busy: bool,
     /// How the last attempt ended.
     last_attempt: Option<AttemptResult>,
+    /// The timer for an overdue decision, while the call has no final outcome.
+    overdue_timer: Option<TimerKey>,
+    /// The time-out of the open attempt.
+    attempt_timer: Option<TimerKey>,
 }
 
 /// What the engine has to know about a class of calls.
@@ -212,13 +182,9 @@
     release_timer_set: bool,
     /// Releases sent a short time ago, with time and connection: their caller may not have read them.
     sent_releases: VecDeque<(SystemTime, CallerConnId, CallerRelease)>,
-    /// Calls that ended a short time ago, oldest first.
-    ended_calls: VecDeque<(SystemTime, CallUid)>,
-    /// The ids in `ended_calls`.
-    ended_call_uids: HashSet<CallUid>,
+    ended_calls: EndedCalls,
     last_probe: u64,
-    timers: BinaryHeap<Reverse<(SystemTime, u64, Timer)>>,
-    timer_count: u64,
+    timers: TimerQueue,
     /// Events that the decision module has yet to handle.
     controller_events: VecDeque<Event>,
     /// The limits of the shutdown, from the first request to stop on.
@@ -277,13 +243,11 @@
             caller_releases: VecDeque::new(),
             release_timer_set: false,
             sent_releases: VecDeque::new(),
-            ended_calls: VecDeque::new(),
-            ended_call_uids: HashSet::new(),
+            ended_calls: EndedCalls::default(),
             // Probe ids count up from a value made from the seed. The seed differs between the processes of a
             // replacement, so they are very unlikely to use the same id.
             last_probe: !config.seed,
-            timers: BinaryHeap::new(),
-            timer_count: 0,
+            timers: TimerQueue::default(),
             controller_events: VecDeque::new(),
             shutdown_deadline: None,
             listening_stopped: false,
@@ -307,7 +271,7 @@
 
     /// When the next timer expires; the host must pass an input at that time, [`Input::Wake`] if there is no other.
     pub fn next_wake(&self) -> Option<SystemTime> {
-        self.timers.peek().map(|Reverse((at, ..))| *at)
+        self.timers.next_expiry()
     }
 
     /// Number of open and established calls.
@@ -319,10 +283,7 @@
     pub fn entry_count(&self) -> usize {
         let exchanges =
             self.exchanges.values().map(|exchange| 1 + exchange.pending_releases.len()).sum::<usize>();
-        let ids = self.call_ids.len()
-            + self.exchange_ids.len()
-            + self.ended_calls.len()
-            + self.ended_call_uids.len();
+        let ids = self.call_ids.len() + self.exchange_ids.len() + self.ended_calls.entry_count();
         let unconfirmed =
             self.exchange_conns.values().map(|conn| conn.unconfirmed_releases.len()).sum::<usize>();
         let conns_and_releases = self.exchange_conns.len()
@@ -342,10 +303,7 @@
     pub fn handle(&mut self, now: SystemTime, input: Input, effects: &mut Vec<Effect>) {
         // The system clock may be set back; the engine's time never decreases.
         self.now = self.now.max(now);
-        while let Some(Reverse((at, _, timer))) = self.timers.peek().copied()
-            && at <= self.now
-        {
-            self.timers.pop();
+        while let Some(timer) = self.timers.pop_expired(self.now) {
             self.handle_timer(timer, effects);
             self.run_controller(effects);
         }
@@ -527,9 +485,8 @@
         self.apply_limits();
     }
 
-    fn set_timer(&mut self, delay: Duration, timer: Timer) {
-        self.timer_count += 1;
-        self.timers.push(Reverse((self.now + delay, self.timer_count, timer)));
+    fn set_timer(&mut self, delay: Duration, timer: Timer) -> TimerKey {
+        self.timers.set(self.now + delay, timer)
     }
 
     fn handle_timer(&mut self, timer: Timer, effects: &mut Vec<Effect>) {
@@ -557,7 +514,7 @@
             Timer::Reconnect(exchange) => self.reconnect(exchange, effects),
             Timer::RemoveExchange(exchange) => self.remove_exchange(exchange, effects),
             Timer::CheckExchange(exchange) => {
-                self.expire_old_entries();
+                self.expire_old_entries(effects);
                 self.check_exchange(exchange, effects);
             }
             Timer::CheckSilence(exchange_conn) => self.check_silence(exchange_conn, effects),
@@ -612,7 +569,7 @@
                 }
             }
             Action::SetTimer { delay_ms, tag } => {
-                self.set_timer(duration_from_ms(delay_ms), Timer::Controller(tag))
+                self.set_timer(duration_from_ms(delay_ms), Timer::Controller(tag));
             }
             Action::Probe { exchange } => {
                 if let Some(ConnState::Up(exchange_conn)) =
@@ -684,7 +641,8 @@
             redial: false,
             was_cut: setup.was_cut,
         }));
-        self.set_timer(elapsed(self.now, deadline) + DECISION_GRACE, Timer::DecisionOverdue(id));
+        let overdue_timer =
+            self.set_timer(elapsed(self.now, deadline) + DECISION_GRACE, Timer::DecisionOverdue(id));
         self.call_ids.insert(uid, id);
         self.calls.insert(
             id,
@@ -704,6 +662,8 @@
                 paused_until: None,
                 busy: false,
                 last_attempt: None,
+                overdue_timer: Some(overdue_timer),
+                attempt_timer: None,
             },
         );
         self.record_setup(id, setup.dest, setup.transit_from, setup.was_cut);
@@ -738,7 +698,7 @@
     ) {
         self.metrics.count_refused(class);
         let retry_after = self.retry_after_exit().unwrap_or(self.max_retry_after);
-        self.remember_ended(call);
+        self.remember_turned_away(call);
         self.record_refusal(call, reason, retry_after);
         effects.push(Effect::ToCaller { caller_conn, call, message: CallerMessage::Refused { retry_after } });
         self.close_conn_after_outcome(caller_conn, effects);
@@ -793,8 +753,10 @@
         if !matches!(call.phase, Phase::Established { .. }) {
             self.uncount_open_setup(call.description.as_ref());
         }
+        self.timers.cancel(call.overdue_timer);
+        self.timers.cancel(call.attempt_timer);
         self.call_ids.remove(&call.uid);
-        self.remember_ended(call.uid);
+        self.ended_calls.add(self.now, call.uid, call.attempt_count > 0);
         // Sent for every removed call, not only for abandoned ones: the decision module still knows the call if it was
         // late with its decision or the caller connection was lost. It ignores the event for a call that it has ended
         // itself.
@@ -802,20 +764,24 @@
         Some(call)
     }
 
-    /// Remembers for a while that a call is not established any more, or never was.
+    /// Remembers for a while an id that a caller sent and that became no call here.
+    fn remember_turned_away(&mut self, call: CallUid) {
+        self.ended_calls.add(self.now, call, false);
+    }
+
+    /// Remembers for a while that a call has ended that was established before this process started.
     fn remember_ended(&mut self, call: CallUid) {
-        if self.ended_call_uids.insert(call) {
-            self.ended_calls.push_back((self.now, call));
-        }
+        self.ended_calls.add(self.now, call, true);
     }
 
     /// Drops ended calls and sent releases whose retention time is over.
-    fn expire_old_entries(&mut self) {
-        while let Some((at, uid)) = self.ended_calls.front().copied()
-            && elapsed(at, self.now) > ENDED_CALL_RETENTION
-        {
-            self.ended_calls.pop_front();
-            self.ended_call_uids.remove(&uid);
+    fn expire_old_entries(&mut self, effects: &mut Vec<Effect>) {
+        self.ended_calls.expire(self.now);
+        if let Some(forgotten) = self.ended_calls.take_report(self.now) {
+            effects.push(Effect::Log(format!(
+                "too many ended calls to remember; ids forgotten early: {} of calls sent to an exchange, {} of others",
+                forgotten.attempted, forgotten.unattempted
+            )));
         }
         let now = self.now;
         self.sent_releases.retain(|(sent_at, ..)| elapsed(*sent_at, now) <= UNREAD_REPORT_WINDOW);
@@ -831,7 +797,7 @@
 
     fn hang_up(&mut self, caller_conn: CallerConnId, uid: CallUid, cause: u8, effects: &mut Vec<Effect>) {
         let Some(id) = self.call_ids.get(&uid).copied() else {
-            if caller_conn == NO_CALLER_CONN || self.ended_call_uids.contains(&uid) {
+            if caller_conn == NO_CALLER_CONN || self.ended_calls.contains(&uid) {
                 return;
             }
             // The call may be established in the sibling process, or it was established before this one started: its
--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -60,7 +60,7 @@
         if elapsed(self.started_at, self.now) >= EARLIER_CALLS_TIME {
             return;
         }
-        self.remember_ended(call);
+        self.remember_turned_away(call);
         let release = Release { call, cause, is_known_there: false };
         let is_listed = |exchange: &Exchange| {
             exchange.readiness != Readiness::Removed && Some(exchange.number) != self.home
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -154,7 +154,7 @@
                 self.end_established(id, exchange, outcome, ReleasedBy::Exchange, effects);
             }
             Some(_) => {}
-            None if self.ended_call_uids.contains(&uid) => {}
+            None if self.ended_calls.contains(&uid) => {}
             None => self.release_unknown_call(uid, outcome, effects),
         }
     }
