Pass hang-ups of unknown calls on at a limited rate, in turn for each connection

Seen: one client with 'stop' lines of unknown ids at full speed made the softswitch send 13,500 releases a second to each of two exchanges; calls of sound callers took up to 2.0 s instead of 21 ms (6 s, clients written for it).

Cause: release_earlier_call sent every such hang-up to all exchanges at once, kept it for each of them for 8 s (for ever, if out of reach) and remembered its id. In a replacement each went to the other process.

Change: engine/unknown_hang_ups.rs passes on one every 10 ms, connections in turn; more than can be passed on within 8 s closes the connection, with a line in the log. Releases of calls that may be anywhere expire while their exchange is out of reach. What callers hang up moved from engine/mod.rs to engine/hang_ups.rs.

--- a/crates/record/src/event.rs
+++ b/crates/record/src/event.rs
@@ -295,6 +295,8 @@
     TooManyMalformed,
     /// Its caller connection was closed at the end of an operator's drain.
     Draining,
+    /// Its caller connection was closed for too many hang-ups of unknown calls.
+    TooManyUnknownCalls,
 }
 
 /// Who ended an established call.
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -157,6 +157,9 @@
         FailureReason::DuplicateCallId => "failed: a call id came twice on its connection".to_owned(),
         FailureReason::TooManyMalformed => "failed: its connection carried malformed messages".to_owned(),
         FailureReason::Draining => "failed: the softswitch was being emptied".to_owned(),
+        FailureReason::TooManyUnknownCalls => {
+            "failed: its connection carried too many hang-ups of unknown calls".to_owned()
+        }
     }
 }
 
--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -393,6 +393,7 @@
     ) {
         let sent_on_conn =
             |call: &Call| matches!(call.phase, Phase::Attempting { conn, .. } if conn == Some(exchange_conn));
+        let now = self.now;
         for call in self.calls_where(sent_on_conn) {
             let uid = self.calls[&call].uid;
             self.end_attempt(call, Outcome::Reset, Reason::Unspecified);
@@ -401,7 +402,9 @@
                     let open = *open;
                     self.send_cancel_on(open, uid, effects);
                 }
-                Some(exchange) => exchange.pending_releases.push(Release::known(uid, CAUSE_NORMAL_CLEARING)),
+                Some(exchange) => {
+                    exchange.pending_releases.push(Release::known(uid, CAUSE_NORMAL_CLEARING, now))
+                }
                 None => {}
             }
         }
@@ -526,7 +529,7 @@
     /// the next one.
     pub(super) fn cut_calls(&mut self, id: ExchangeId, calls: Vec<CallId>, effects: &mut Vec<Effect>) {
         for call in calls {
-            let release = Release::known(self.calls[&call].uid, CAUSE_NORMAL_CLEARING);
+            let release = Release::known(self.calls[&call].uid, CAUSE_NORMAL_CLEARING, self.now);
             self.send_or_queue_release(id, release, effects);
             self.end_established(call, id, Outcome::Reset, ReleasedBy::ExchangeLost, effects);
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod callers;
 mod ended_calls;
 mod exchanges;
+mod hang_ups;
 mod messages;
 mod recording;
 mod releases;
@@ -37,6 +38,7 @@
 mod sibling;
 mod status;
 mod timers;
+mod unknown_hang_ups;
 
 use callers::{CallerConn, CallerRelease, UNREAD_REPORT_WINDOW};
 use ended_calls::EndedCalls;
@@ -48,8 +50,9 @@
 use recording::{AttemptResult, RecordBuffer};
 use shutdown::ShutdownDeadline;
 use sibling::Role;
-use swiftlb_record::{Event as RecordEvent, FailureReason, RefusalReason, ReleasedBy};
+use swiftlb_record::{Event as RecordEvent, FailureReason, RefusalReason};
 use timers::{Timer, TimerKey, TimerQueue};
+use unknown_hang_ups::UnknownHangUps;
 
 /// Time after a caller's deadline at which the engine fails the call if the decision module has not decided on its
 /// final outcome. Callers on sockets must get it within 50 ms of the deadline.
@@ -183,6 +186,7 @@
     /// Releases sent a short time ago, with time and connection: their caller may not have read them.
     sent_releases: VecDeque<(SystemTime, CallerConnId, CallerRelease)>,
     ended_calls: EndedCalls,
+    unknown_hang_ups: UnknownHangUps,
     last_probe: u64,
     timers: TimerQueue,
     /// Events that the decision module has yet to handle.
@@ -244,6 +248,7 @@
             release_timer_set: false,
             sent_releases: VecDeque::new(),
             ended_calls: EndedCalls::default(),
+            unknown_hang_ups: UnknownHangUps::default(),
             // Probe ids count up from a value made from the seed. The seed differs between the processes of a
             // replacement, so they are very unlikely to use the same id.
             last_probe: !config.seed,
@@ -290,7 +295,8 @@
             + unconfirmed
             + self.caller_conns.len()
             + self.caller_releases.len()
-            + self.sent_releases.len();
+            + self.sent_releases.len()
+            + self.unknown_hang_ups.len();
         self.calls.len()
             + exchanges
             + ids
@@ -523,6 +529,7 @@
                 self.release_timer_set = false;
                 self.send_caller_releases(effects);
             }
+            Timer::UnknownHangUps => self.pass_on_next_hang_up(effects),
             // `handle` checks the exit after every input.
             Timer::CheckStopped => self.cut_calls_after_max_stop_time(effects),
             Timer::ShutdownDeadline => self.enforce_shutdown_deadline(effects),
@@ -785,7 +792,7 @@
         }
         let now = self.now;
         self.sent_releases.retain(|(sent_at, ..)| elapsed(*sent_at, now) <= UNREAD_REPORT_WINDOW);
-        self.expire_unconfirmed_releases();
+        self.expire_releases();
     }
 
     /// Stops counting a set-up towards the limits of open set-ups.
@@ -794,63 +801,6 @@
         self.open_description_bytes =
             self.open_description_bytes.saturating_sub(description.map_or(0, |text| text.len()));
     }
-
-    fn hang_up(&mut self, caller_conn: CallerConnId, uid: CallUid, cause: u8, effects: &mut Vec<Effect>) {
-        let Some(id) = self.call_ids.get(&uid).copied() else {
-            if caller_conn == NO_CALLER_CONN || self.ended_calls.contains(&uid) {
-                return;
-            }
-            // The call may be established in the sibling process, or it was established before this one started: its
-            // release may arrive on any connection.
-            if self.sibling.is_some() {
-                effects.push(Effect::ToSibling(SiblingMessage::HangUp { call: uid, cause }));
-            } else if self.caller_conns.get(&caller_conn).is_some_and(|conn| conn.front == Front::JsonLines) {
-                self.release_earlier_call(uid, cause, effects);
-            }
-            return;
-        };
-        // An established call may be released on any connection; a set-up may be abandoned only on its own.
-        match self.calls[&id].phase {
-            Phase::Established { .. } => {}
-            _ if self.calls[&id].caller_conn == caller_conn => {}
-            _ => return,
-        }
-        match self.calls[&id].phase {
-            Phase::Established { exchange, .. } => {
-                self.release_at_exchange(id, exchange, cause, effects);
-                self.record_released(uid, Some(exchange), ReleasedBy::Caller, false);
-                // A release by the caller is reported as `Cancelled`, whether the call was established or not.
-                self.report_outcome(id, exchange, Outcome::Cancelled, Reason::Unspecified, true);
-                self.remove_call(id, effects);
-            }
-            _ => self.abandon_call(id, effects),
-        }
-    }
-
-    /// Removes a call that its caller has abandoned. The open attempt is cancelled, and the caller gets no message.
-    fn abandon_call(&mut self, id: CallId, effects: &mut Vec<Effect>) {
-        self.record_abandoned(id);
-        self.abandon_attempt(id, effects);
-        self.remove_call(id, effects);
-    }
-
-    /// Cancels the open attempt of a call that ends with it, and reports how long it was open.
-    fn abandon_attempt(&mut self, id: CallId, effects: &mut Vec<Effect>) {
-        let Some(call) = self.calls.get(&id) else { return };
-        let Phase::Attempting { exchange, sent_at, .. } = call.phase else { return };
-        let attempt = call.attempt_count.saturating_sub(1);
-        self.cancel_at_exchange(id, effects);
-        self.controller_events.push_back(Event::AttemptEnded {
-            call: id,
-            attempt,
-            exchange,
-            outcome: Outcome::Cancelled,
-            reason: Reason::Unspecified,
-            elapsed_ms: duration_to_ms(elapsed(sent_at, self.now)),
-            call_closed: true,
-            report: None,
-        });
-    }
 }
 
 /// The number called in the form of the decision module: the value of hexadecimal digits, as the platform sends them,
--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -26,12 +26,13 @@
     /// Whether the call is known to be at the exchange, or to have been sent there. Otherwise it may be at any exchange,
     /// and no reply is expected.
     is_known_there: bool,
+    created_at: SystemTime,
 }
 
 impl Release {
     /// The release of a call that is at the exchange, or was sent there.
-    pub(super) fn known(call: CallUid, cause: u8) -> Self {
-        Self { call, cause, is_known_there: true }
+    pub(super) fn known(call: CallUid, cause: u8, now: SystemTime) -> Self {
+        Self { call, cause, is_known_there: true, created_at: now }
     }
 }
 
@@ -51,17 +52,22 @@
         cause: u8,
         effects: &mut Vec<Effect>,
     ) {
-        self.send_or_queue_release(at, Release::known(self.calls[&id].uid, cause), effects);
+        self.send_or_queue_release(at, Release::known(self.calls[&id].uid, cause, self.now), effects);
         self.connect(at, effects);
     }
 
+    /// Whether hang-ups of calls that were established before this process started are still expected.
+    pub(super) fn expects_earlier_calls(&self) -> bool {
+        elapsed(self.started_at, self.now) < EARLIER_CALLS_TIME
+    }
+
     /// Releases a call that was established before this process started, at whichever exchange it stands.
     pub(super) fn release_earlier_call(&mut self, call: CallUid, cause: u8, effects: &mut Vec<Effect>) {
-        if elapsed(self.started_at, self.now) >= EARLIER_CALLS_TIME {
+        if !self.expects_earlier_calls() {
             return;
         }
         self.remember_turned_away(call);
-        let release = Release { call, cause, is_known_there: false };
+        let release = Release { call, cause, is_known_there: false, created_at: self.now };
         let is_listed = |exchange: &Exchange| {
             exchange.readiness != Readiness::Removed && Some(exchange.number) != self.home
         };
@@ -107,7 +113,7 @@
         call: CallUid,
         effects: &mut Vec<Effect>,
     ) {
-        self.keep_until_confirmed(exchange_conn, Release::known(call, CAUSE_NORMAL_CLEARING));
+        self.keep_until_confirmed(exchange_conn, Release::known(call, CAUSE_NORMAL_CLEARING, self.now));
         effects.push(Effect::ToExchange { exchange_conn, call, message: ExchangeMessage::Cancel });
     }
 
@@ -151,9 +157,15 @@
         }
     }
 
-    /// Drops the releases that are not sent again any more.
-    pub(super) fn expire_unconfirmed_releases(&mut self) {
+    /// Drops the releases that are not sent again any more, and those of calls that may be anywhere whose exchange has been
+    /// out of reach for as long.
+    pub(super) fn expire_releases(&mut self) {
         let now = self.now;
+        let is_wanted =
+            |release: &Release| release.is_known_there || elapsed(release.created_at, now) < RESEND_TIME;
+        for exchange in self.exchanges.values_mut() {
+            exchange.pending_releases.retain(is_wanted);
+        }
         for conn in self.exchange_conns.values_mut() {
             conn.unconfirmed_releases.retain(|sent| elapsed(sent.sent_at, now) < RESEND_TIME);
         }
--- a/src/engine/timers.rs
+++ b/src/engine/timers.rs
@@ -29,6 +29,8 @@
     CheckIdle(CallerConnId),
     /// Try again to send the releases that wait for a caller connection.
     CallerReleases,
+    /// Pass on the next hang-up of an unknown call.
+    UnknownHangUps,
     /// Check whether the process can exit after a request to stop.
     CheckStopped,
     /// End all open set-ups, and close caller connections from now on, before the process may be killed.
