Count a release as delivered only on a connection on which a call was served

Cause: close_least_used_conn closed a connection with established calls rather than one younger than 200 ms, and send_release took any silent connection for the caller's and forgot the release once it was written.

Change: engine/caller_releases.rs: a release sent on a connection on which no call was served is sent again on the first one on which one is. New connections are displaced before those with established calls. What stops or drains takes only clients that place set-ups for callers.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -270,15 +270,13 @@
         let (attempt, elapsed_ms) = (call.attempt_count - 1, duration_to_ms(elapsed(sent_at, self.now)));
         let (caller_conn, call) = (call.caller_conn, call.uid);
         self.uncount_open_setup(setup_description.as_ref());
-        if let Some(conn) = self.caller_conns.get_mut(&caller_conn) {
-            conn.served_call = true;
-        }
         self.cancel_call_timers(id);
         effects.push(Effect::ToCaller {
             caller_conn,
             call,
             message: CallerMessage::Answered { description },
         });
+        self.conn_served_call(caller_conn, effects);
         self.close_conn_after_outcome(caller_conn, effects);
         self.record_answer(id, exchange);
         self.controller_events.push_back(Event::Answered { call: id, attempt, exchange, elapsed_ms });
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -26,6 +26,7 @@
 use crate::ops::{Gauges, Metrics, OperatorReply, OperatorRequest};
 
 mod attempts;
+mod caller_releases;
 mod callers;
 mod ended_calls;
 mod exchanges;
@@ -40,7 +41,8 @@
 mod timers;
 mod unknown_hang_ups;
 
-use callers::{CallerConn, CallerRelease, UNREAD_REPORT_WINDOW};
+use caller_releases::CallerReleases;
+use callers::CallerConn;
 use ended_calls::EndedCalls;
 use exchanges::{ConnState, Exchange, ExchangeConn};
 pub use messages::{
@@ -179,12 +181,7 @@
     /// Size of their descriptions, in bytes.
     open_description_bytes: usize,
     max_retry_after: Duration,
-    /// Releases that wait for a caller connection.
-    caller_releases: VecDeque<CallerRelease>,
-    /// Whether a timer for `caller_releases` is set.
-    release_timer_set: bool,
-    /// Releases sent a short time ago, with time and connection: their caller may not have read them.
-    sent_releases: VecDeque<(SystemTime, CallerConnId, CallerRelease)>,
+    caller_releases: CallerReleases,
     ended_calls: EndedCalls,
     unknown_hang_ups: UnknownHangUps,
     last_probe: u64,
@@ -244,9 +241,7 @@
             open_setups: 0,
             open_description_bytes: 0,
             max_retry_after: Duration::ZERO,
-            caller_releases: VecDeque::new(),
-            release_timer_set: false,
-            sent_releases: VecDeque::new(),
+            caller_releases: CallerReleases::default(),
             ended_calls: EndedCalls::default(),
             unknown_hang_ups: UnknownHangUps::default(),
             // Probe ids count up from a value made from the seed. The seed differs between the processes of a
@@ -294,8 +289,7 @@
         let conns_and_releases = self.exchange_conns.len()
             + unconfirmed
             + self.caller_conns.len()
-            + self.caller_releases.len()
-            + self.sent_releases.len()
+            + self.caller_releases.entry_count()
             + self.unknown_hang_ups.len();
         self.calls.len()
             + exchanges
@@ -331,22 +325,18 @@
             }
             Input::CallerDisconnected { caller_conn } => self.caller_disconnected(caller_conn, effects),
             Input::CallerMessagesUnread { caller_conn } => {
-                // A release that was sent while the caller closed the connection would otherwise be lost.
-                let unread = self.sent_releases.iter().filter(|(_, conn, _)| *conn == caller_conn);
-                self.caller_releases.extend(unread.map(|(_, _, release)| release.clone()));
-                self.sent_releases.retain(|(_, conn, _)| *conn != caller_conn);
-                self.send_caller_releases(effects);
+                self.resend_unread_releases(caller_conn, effects);
             }
             Input::SetUp { caller_conn, call, setup } => {
-                self.caller_message_received(caller_conn, effects);
+                self.caller_message_received(caller_conn);
                 self.handle_setup(caller_conn, call, setup, effects);
             }
             Input::MalformedSetUp { caller_conn, call } => {
-                self.caller_message_received(caller_conn, effects);
+                self.caller_message_received(caller_conn);
                 self.fail_malformed(caller_conn, call, effects);
             }
             Input::HangUp { caller_conn, call, cause } => {
-                self.caller_message_received(caller_conn, effects);
+                self.caller_message_received(caller_conn);
                 self.hang_up(caller_conn, call, cause, effects);
             }
             Input::HealthCheck { caller_conn, call } => {
@@ -525,10 +515,7 @@
             }
             Timer::CheckSilence(exchange_conn) => self.check_silence(exchange_conn, effects),
             Timer::CheckIdle(caller_conn) => self.close_if_idle(caller_conn, effects),
-            Timer::CallerReleases => {
-                self.release_timer_set = false;
-                self.send_caller_releases(effects);
-            }
+            Timer::CallerReleases => self.retry_caller_releases(effects),
             Timer::UnknownHangUps => self.pass_on_next_hang_up(effects),
             // `handle` checks the exit after every input.
             Timer::CheckStopped => self.cut_calls_after_max_stop_time(effects),
@@ -621,6 +608,7 @@
         let Some(class) = class.filter(is_valid) else {
             return self.fail_malformed(caller_conn, uid, effects);
         };
+        self.conn_placed_setup(caller_conn, effects);
         let bytes = setup.description.as_ref().map_or(0, |text| text.len());
         let limits = &self.classes[class];
         let width = limits.width;
@@ -790,8 +778,7 @@
                 forgotten.attempted, forgotten.unattempted
             )));
         }
-        let now = self.now;
-        self.sent_releases.retain(|(sent_at, ..)| elapsed(*sent_at, now) <= UNREAD_REPORT_WINDOW);
+        self.expire_caller_releases(effects);
         self.expire_releases();
     }
 
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -8,10 +8,7 @@
 
 use super::{
     Call, CallId, CallerConnId, CallerMessage, Effect, Engine, ExchangeId, Front, Outcome, Phase, Readiness,
-    Timer,
-    callers::{CallerConn, RELEASE_EXPIRY},
-    elapsed,
-    exchanges::CAUSE_NORMAL_CLEARING,
+    Timer, callers::CallerConn, elapsed, exchanges::CAUSE_NORMAL_CLEARING,
 };
 
 /// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
@@ -247,7 +244,7 @@
 
     /// Whether a connection is open on which a JSON-lines caller may read releases.
     fn has_json_lines_callers(&self) -> bool {
-        self.caller_conns.values().any(|conn| conn.front == Front::JsonLines && !conn.health_checks_only)
+        self.caller_conns.values().any(|conn| conn.front == Front::JsonLines && conn.placed_setup)
     }
 
     /// Closes the caller connections; no set-up is open. What has begun to arrive will not be complete in time.
@@ -319,12 +316,7 @@
         if self.operator_drain_since.take().is_some() {
             self.record_drain(false, DrainSource::Operator);
         }
-        // Callers connect again soon. Restarting the wait keeps pending releases from being sent on a connection that
-        // happens to be open now and may not be read.
-        let now = self.now;
-        self.caller_releases
-            .iter_mut()
-            .for_each(|release| (release.queued_at, release.expires_at) = (now, now + RELEASE_EXPIRY));
+        self.restart_release_wait();
     }
 
     /// Stops while a successor serves: caller connections are closed as soon as no set-up is open on them, and the
@@ -379,7 +371,7 @@
         let candidates = self
             .caller_conns
             .iter()
-            .filter(|(_, conn)| any && conn.front == Front::JsonLines && conn.sent_call_message);
+            .filter(|(_, conn)| any && conn.front == Front::JsonLines && conn.placed_setup);
         candidates.max_by_key(|(id, conn)| (conn.served_call, std::cmp::Reverse(**id))).map(|(id, _)| *id)
     }
 
@@ -445,7 +437,7 @@
         if self.stopping_for_successor {
             let mut caller_conns = self.caller_conns.values();
             return self.calls.is_empty()
-                && self.caller_releases.is_empty()
+                && self.caller_releases.none_waits()
                 && !caller_conns.any(|conn| conn.front == Front::JsonLines);
         }
         let Some(start) = self.stopping_since else { return false };
@@ -458,7 +450,7 @@
             _ => true,
         };
         elapsed(start, self.now) >= MIN_STOP_TIME
-            && (self.caller_releases.is_empty() || self.shutdown_deadline_is_over())
+            && (self.caller_releases.none_waits() || self.shutdown_deadline_is_over())
             && !self.calls.values().any(delays_exit)
     }
 
@@ -485,7 +477,7 @@
              for a caller: {}, for an exchange: {exchange_releases}",
             self.open_setups,
             self.caller_conns.len(),
-            self.caller_releases.len(),
+            self.caller_releases.waiting_count(),
         )));
     }
 }
