Leave the repetition of a release to the next process while it waits for a caller

Cause: an exchange repeats a release on its next connection only. replace_silent_conn opened that connection after 3 s of silence, in the process that already had the first copy and ended with both. Lost connections, changes of the list and reconnects do the same.

Change: leaves_exchange_to_next_process also holds while a release that the exchange reported is not delivered, unless something else needs the connection. Releases carry the exchange that reported them; only the release path of an established call ends it with a release.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -298,7 +298,8 @@
                 let cut = outcome == Outcome::Reset;
                 return effects.push(Effect::ToSibling(SiblingMessage::Ended { call: uid, cut }));
             }
-            return self.release_unknown_call(uid, outcome, effects);
+            let exchange = self.exchange_conns.get(&exchange_conn).map(|conn| conn.exchange);
+            return self.release_unknown_call(uid, outcome, exchange, effects);
         }
         let Some((id, exchange)) = self.call_on_conn(exchange_conn, uid) else { return };
         match self.calls[&id].phase {
@@ -328,6 +329,7 @@
         &mut self,
         call: CallUid,
         outcome: Outcome,
+        reported_by: Option<ExchangeId>,
         effects: &mut Vec<Effect>,
     ) {
         if !matches!(outcome, Outcome::Completed | Outcome::Reset) {
@@ -336,7 +338,8 @@
         self.remember_ended(call);
         self.record_released(call, None, ReleasedBy::Exchange, outcome == Outcome::Reset);
         let message = CallerMessage::Released { cut: outcome == Outcome::Reset };
-        self.send_release(NO_CALLER_CONN, self.caller_release(Front::JsonLines, call, message), effects);
+        let release = self.caller_release(Front::JsonLines, call, message).reported_by(reported_by);
+        self.send_release(NO_CALLER_CONN, release, effects);
     }
 
     /// Ends an established call that is over at its exchange, and releases its caller.
@@ -353,6 +356,10 @@
             self.record_released(uid, Some(exchange), by, outcome == Outcome::Reset);
         }
         self.report_outcome(id, exchange, outcome, Reason::Unspecified, true);
-        self.end_call(id, CallerMessage::Released { cut: outcome == Outcome::Reset }, effects);
+        let Some(call) = self.remove_call(id, effects) else { return };
+        let message = CallerMessage::Released { cut: outcome == Outcome::Reset };
+        let reported_by = (by == ReleasedBy::Exchange).then_some(exchange);
+        let release = self.caller_release(call.front, call.uid, message).reported_by(reported_by);
+        self.send_release(call.caller_conn, release, effects);
     }
 }
--- a/src/engine/caller_releases.rs
+++ b/src/engine/caller_releases.rs
@@ -10,8 +10,8 @@
 
 use super::callers::CallerConn;
 use super::{
-    CallUid, CallerConnId, CallerMessage, Effect, Engine, Front, NO_CALLER_CONN, SiblingMessage, Timer,
-    elapsed,
+    CallUid, CallerConnId, CallerMessage, Effect, Engine, ExchangeId, Front, NO_CALLER_CONN, SiblingMessage,
+    Timer, elapsed,
 };
 
 /// How long a release waits for a connection of its caller.
@@ -30,6 +30,8 @@
     front: Front,
     call: CallUid,
     message: CallerMessage,
+    /// The exchange that reported the end of the call to this process, if one did.
+    reported_by: Option<ExchangeId>,
 }
 
 /// A release that was sent to a caller.
@@ -65,6 +67,12 @@
         self.waiting.len()
     }
 
+    /// Whether a release that this exchange reported has not reached its caller for certain.
+    pub(super) fn any_undelivered_of(&self, exchange: ExchangeId) -> bool {
+        let unproven = self.unproven.iter().map(|sent| &sent.release);
+        self.waiting.iter().chain(unproven).any(|release| release.reported_by == Some(exchange))
+    }
+
     /// Number of entries.
     pub(super) fn entry_count(&self) -> usize {
         self.waiting.len() + self.sent.len() + self.unproven.len()
@@ -99,6 +107,13 @@
     }
 }
 
+impl CallerRelease {
+    /// The same release, of a call whose end an exchange reported.
+    pub(super) fn reported_by(self, exchange: Option<ExchangeId>) -> Self {
+        Self { reported_by: exchange, ..self }
+    }
+}
+
 impl Engine {
     pub(super) fn caller_release(
         &self,
@@ -106,7 +121,7 @@
         call: CallUid,
         message: CallerMessage,
     ) -> CallerRelease {
-        CallerRelease { queued_at: self.now, front, call, message }
+        CallerRelease { queued_at: self.now, front, call, message, reported_by: None }
     }
 
     /// Sends a release to a caller, on the connection of its set-up or another one of the caller's. Without any, the release
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -699,7 +699,7 @@
         self.close_conn_after_outcome(caller_conn, effects);
     }
 
-    /// Ends a call: sends its caller the final message, if one is due, and frees everything that the call holds.
+    /// Ends a set-up: sends its caller the final outcome, and frees everything that the call holds.
     fn end_call(&mut self, id: CallId, message: CallerMessage, effects: &mut Vec<Effect>) {
         self.end_call_with_reason(id, message, None, effects);
     }
@@ -713,9 +713,7 @@
         effects: &mut Vec<Effect>,
     ) {
         // An established call has had its one final outcome; only its release may follow.
-        let released = matches!(message, CallerMessage::Released { .. });
-        let established = |call: &Call| matches!(call.phase, Phase::Established { .. });
-        if !released && self.calls.get(&id).is_some_and(established) {
+        if self.calls.get(&id).is_some_and(|call| matches!(call.phase, Phase::Established { .. })) {
             return;
         }
         let Some(call) = self.remove_call(id, effects) else { return };
@@ -733,9 +731,7 @@
             }
             _ => {}
         }
-        if released {
-            self.send_release(call.caller_conn, self.caller_release(call.front, call.uid, message), effects);
-        } else if self.caller_conns.contains_key(&call.caller_conn) {
+        if self.caller_conns.contains_key(&call.caller_conn) {
             effects.push(Effect::ToCaller { caller_conn: call.caller_conn, call: call.uid, message });
             self.close_conn_after_outcome(call.caller_conn, effects);
         }
--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -141,6 +141,12 @@
         }
     }
 
+    /// Whether an exchange has yet to confirm the release of a call that stood there.
+    pub(super) fn awaits_release_confirmation(&self, id: ExchangeId) -> bool {
+        let mut conns = self.exchange_conns.values().filter(|conn| conn.exchange == id);
+        conns.any(|conn| conn.awaits_confirmation_since().is_some())
+    }
+
     /// Forgets all releases that were sent on the open connection to an exchange.
     pub(super) fn forget_unconfirmed_releases(&mut self, id: ExchangeId) {
         for conn in self.exchange_conns.values_mut().filter(|conn| conn.exchange == id) {
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -225,21 +225,36 @@
         }
     }
 
-    /// Whether this process must not open a connection to an exchange, because it stops or drains and could not pass on what
-    /// arrives there: no caller is connected, or the last caller connection is being closed. The exchange repeats the release of a call on the next connection only, which has to be the one of
-    /// the next process.
+    /// Whether this process must not open a connection to an exchange. An exchange repeats the release of a call on the next
+    /// connection only, which has to be the one of the next process if this one may end before it has passed the release on:
+    /// because it stops or drains and no caller is connected, or the last caller connection is being closed; or, at any time,
+    /// because a release that the exchange has sent here still waits for its caller.
     pub(super) fn leaves_exchange_to_next_process(&self, id: ExchangeId) -> bool {
+        let stops_or_drains = self.stopping_since.is_some() || self.operator_drain_since.is_some();
+        let reaches_no_caller = self.release_time_is_over() || !self.has_json_lines_callers();
+        let is_needed_now = self.needs_exchange(id);
+        (stops_or_drains && reaches_no_caller && !is_needed_now)
+            || (self.caller_releases.any_undelivered_of(id)
+                && !is_needed_now
+                && !self.has_attempt_at(id)
+                && !self.awaits_release_confirmation(id))
+    }
+
+    /// Whether a release waits for a connection to an exchange, or an IAX2 call is there, which ends with this process.
+    fn needs_exchange(&self, id: ExchangeId) -> bool {
         let has_iax2_caller = |call: &Call| {
             call.front == Front::Iax2
                 && matches!(call.phase, Phase::Established { exchange, .. }
                     | Phase::Attempting { exchange, .. } if exchange == id)
         };
-        let awaits_release =
-            self.exchanges.get(&id).is_some_and(|exchange| !exchange.pending_releases.is_empty());
-        (self.stopping_since.is_some() || self.operator_drain_since.is_some())
-            && (self.release_time_is_over() || !self.has_json_lines_callers())
-            && !awaits_release
-            && !self.calls.values().any(has_iax2_caller)
+        self.exchanges.get(&id).is_some_and(|exchange| !exchange.pending_releases.is_empty())
+            || self.calls.values().any(has_iax2_caller)
+    }
+
+    fn has_attempt_at(&self, id: ExchangeId) -> bool {
+        let is_there =
+            |call: &Call| matches!(call.phase, Phase::Attempting { exchange, .. } if exchange == id);
+        self.calls.values().any(is_there)
     }
 
     /// Whether a connection is open on which a JSON-lines caller may read releases.
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -105,6 +105,8 @@
             SiblingMessage::HangUp { call, cause } => self.hang_up(NO_CALLER_CONN, call, cause, effects),
             SiblingMessage::Ended { call, cut } => self.sibling_reported_end(call, cut, effects),
             SiblingMessage::Release { call, cut } => {
+                // The exchange may repeat the end of the call to this process.
+                self.remember_ended(call);
                 let message = CallerMessage::Released { cut };
                 self.send_release(
                     NO_CALLER_CONN,
@@ -155,7 +157,7 @@
             }
             Some(_) => {}
             None if self.ended_calls.contains(&uid) => {}
-            None => self.release_unknown_call(uid, outcome, effects),
+            None => self.release_unknown_call(uid, outcome, None, effects),
         }
     }
 
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -216,3 +216,69 @@
     harness.end_call(1, 1, Outcome::Completed, Reason::Unspecified);
     assert_eq!(harness.caller_messages(1).last(), Some(&CallerMessage::Released { cut: false }));
 }
+
+/// Two calls stand at exchange 1, their caller has no connection, and the first of them ends there.
+fn with_release_that_waits() -> EngineHarness {
+    let mut harness = EngineHarness::new(3);
+    for call in [1, 2] {
+        establish(&mut harness, call, CALLER_CONN);
+    }
+    harness.handle(Input::CallerDisconnected { caller_conn: CALLER_CONN });
+    harness.end_call(1, 1, Outcome::Completed, Reason::Unspecified);
+    harness
+}
+
+/// Guards against a process that takes the repetition of a release which it has not passed on, and then ends with both
+/// (review case 9): the exchange repeats it on its next connection only.
+#[test]
+fn no_further_connection_is_opened_to_an_exchange_whose_release_waits_for_a_caller() {
+    let mut harness = with_release_that_waits();
+    let requested = requested_conns(&harness);
+    harness.advance(10_000);
+    assert_eq!(requested_conns(&harness), requested, "not because of silence");
+    harness.handle(Input::ExchangeDisconnected { exchange_conn: harness.exchange_conn(1) });
+    harness.advance(10_000);
+    assert_eq!(requested_conns(&harness), requested, "and not after a loss");
+    harness.handle(Input::Stop);
+    harness.advance(10_000);
+    assert_eq!(requested_conns(&harness), requested);
+    assert!(harness.effects.contains(&Effect::Exit));
+}
+
+/// Guards against the same with a stranger that is connected and silent, and gets the release in vain.
+#[test]
+fn no_further_connection_is_opened_while_a_release_went_to_a_stranger_only() {
+    let mut harness = with_release_that_waits();
+    let requested = requested_conns(&harness);
+    harness.handle(Input::CallerConnected { caller_conn: 66, front: Front::JsonLines });
+    harness.advance(2_000);
+    assert_eq!(harness.caller_messages(1).len(), 2, "answered and released");
+    harness.advance(8_000);
+    assert_eq!(requested_conns(&harness), requested);
+}
+
+/// Guards against an exchange that stays without a connection, or unwatched, after the release has reached its caller.
+#[test]
+fn the_connection_to_an_exchange_is_watched_and_opened_again_once_its_release_has_reached_a_caller() {
+    let mut harness = with_release_that_waits();
+    harness.advance(5_000);
+    let requested = requested_conns(&harness);
+    harness.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    let setup = harness.new_setup(2, 3_000);
+    harness.handle(Input::SetUp { caller_conn: 8, call: call_uid(3), setup });
+    harness.answer(3, 2);
+    harness.advance(300);
+    assert_eq!(requested_conns(&harness), requested + 1, "it has been silent for more than 3 s");
+}
+
+/// Guards against a call that waits for a connection which is held back for a release.
+#[test]
+fn a_set_up_to_an_exchange_whose_release_waits_opens_a_connection() {
+    let mut harness = with_release_that_waits();
+    harness.handle(Input::ExchangeDisconnected { exchange_conn: harness.exchange_conn(1) });
+    let requested = requested_conns(&harness);
+    harness.handle(Input::CallerConnected { caller_conn: 8, front: Front::JsonLines });
+    let setup = harness.new_setup(1, 3_000);
+    harness.handle(Input::SetUp { caller_conn: 8, call: call_uid(3), setup });
+    assert_eq!(requested_conns(&harness), requested + 1);
+}
