Keep an operator's drain in both processes of a replacement

Cause: operator_drain_since was known to one of the two processes only.

Change: SiblingMessage::Drain, in the handover and on every order at either door; both processes tell the version of the messages that they know, so that a sibling of the first release gets none.

--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -104,7 +104,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum SiblingMessage {
     /// From the successor: request to hand over.
-    HandoverRequest,
+    HandoverRequest {
+        /// Version of the messages that the successor knows.
+        version: u32,
+    },
     /// From the predecessor: an exchange of its list.
     Exchange(ListEntry),
     /// From the predecessor: values that its decision module learned, in general or about one exchange.
@@ -120,9 +123,16 @@
     HandoverComplete {
         /// Number of the last event in the list.
         serial: u32,
+        /// Version of the messages that the predecessor knows.
+        version: u32,
     },
     /// From the successor: it serves.
     Serving,
+    /// An operator's drain has begun, or has ended. From version 2 on.
+    Drain {
+        /// When it began; `None` once it has ended.
+        since: Option<SystemTime>,
+    },
     /// A caller hung up an established call that may belong to the other process.
     HangUp {
         /// The call.
@@ -146,6 +156,10 @@
     },
 }
 
+/// Version of the messages that this program knows. A process sends no message that its sibling, which may be of an earlier
+/// release, does not know.
+pub const SIBLING_PROTOCOL_VERSION: u32 = 2;
+
 /// State that a process takes over from its predecessor.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HandoverState {
@@ -153,6 +167,8 @@
     pub list: Vec<ListEntry>,
     /// Number of the last event in the list.
     pub serial: u32,
+    /// Version of the messages that the predecessor knows.
+    pub version: u32,
     /// Learned values in the order received: topic, name of the exchange, values.
     pub learned: Vec<(String, Option<Arc<str>>, Vec<f64>)>,
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -47,7 +47,7 @@
 use exchanges::{ConnState, Exchange, ExchangeConn};
 pub use messages::{
     CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, HandoverState,
-    Input, ListEntry, SetUp, SiblingMessage,
+    Input, ListEntry, SIBLING_PROTOCOL_VERSION, SetUp, SiblingMessage,
 };
 use recording::{AttemptResult, RecordBuffer};
 use shutdown::ShutdownDeadline;
@@ -198,6 +198,8 @@
     operator_drain_since: Option<SystemTime>,
     /// Role of the sibling process, while there is one.
     sibling: Option<Role>,
+    /// Version of the messages that the sibling process knows.
+    sibling_version: u32,
     /// Whether it accepts caller connections; a successor does so once it is ready.
     accepting_callers: bool,
     /// Whether it was asked to stop while a successor serves.
@@ -254,6 +256,7 @@
             stopping_since: None,
             operator_drain_since: None,
             sibling: None,
+            sibling_version: 0,
             accepting_callers: true,
             stopping_for_successor: false,
             list_serial: config.list_serial,
@@ -369,7 +372,7 @@
             Input::SiblingDisconnected => self.sibling_disconnected(effects),
             Input::AttemptsWritten { attempts } => self.metrics.count_attempts(attempts),
             Input::OperatorRequest { request_id, request } => {
-                let reply = self.handle_operator_request(request);
+                let reply = self.handle_operator_request(request, effects);
                 effects.push(Effect::ToOperator { request_id, reply });
             }
             Input::ExchangeConnected { exchange_conn, carries_calls } => {
@@ -398,7 +401,11 @@
         }
     }
 
-    fn handle_operator_request(&mut self, request: OperatorRequest) -> OperatorReply {
+    fn handle_operator_request(
+        &mut self,
+        request: OperatorRequest,
+        effects: &mut Vec<Effect>,
+    ) -> OperatorReply {
         match request {
             OperatorRequest::Readiness if self.is_ready() => OperatorReply::Done,
             OperatorRequest::Readiness => OperatorReply::NotReady,
@@ -420,11 +427,13 @@
             }
             OperatorRequest::Fleet => OperatorReply::Fleet(self.fleet().to_json()),
             OperatorRequest::BeginDrain => {
-                self.begin_drain();
+                self.begin_drain(self.now);
+                self.tell_sibling_of_drain(effects);
                 OperatorReply::Done
             }
             OperatorRequest::EndDrain => {
                 self.end_drain();
+                self.tell_sibling_of_drain(effects);
                 OperatorReply::Done
             }
         }
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -317,12 +317,13 @@
         self.set_timer(MAX_STOP_TIME, Timer::CheckStopped);
     }
 
-    /// Begins an operator's drain, unless one is in progress.
-    pub(super) fn begin_drain(&mut self) {
+    /// Begins an operator's drain that was ordered at this time, here or at the sibling process, unless one is in progress.
+    pub(super) fn begin_drain(&mut self, since: SystemTime) {
         if self.operator_drain_since.is_none() {
             self.record_drain(true, DrainSource::Operator);
-            self.operator_drain_since = Some(self.now);
-            self.set_timer(DRAIN_CLOSE_DELAY, Timer::DrainCallers(self.now));
+            self.operator_drain_since = Some(since);
+            let close_delay = elapsed(self.now, since + DRAIN_CLOSE_DELAY);
+            self.set_timer(close_delay, Timer::DrainCallers(since));
         }
     }
 
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -7,8 +7,8 @@
 
 use super::{
     CallUid, CallerMessage, Config, Effect, Engine, Front, HandoverState, LearnedValues, ListEntry,
-    MAX_CONNECT_WAIT, MAX_LIST_WAIT, NO_CALLER_CONN, Outcome, Readiness, SettingsError, SiblingMessage,
-    SystemTime, Timer,
+    MAX_CONNECT_WAIT, MAX_LIST_WAIT, NO_CALLER_CONN, Outcome, Readiness, SIBLING_PROTOCOL_VERSION,
+    SettingsError, SiblingMessage, SystemTime, Timer,
 };
 
 /// File descriptors of a process other than its caller and exchange connections: standard streams, poll, listeners,
@@ -17,6 +17,9 @@
 /// Caller connections that a process may hold during a handover, however low the limit of descriptors is.
 const MIN_CALLER_CONNS: usize = 4;
 
+/// First version of the messages that has [`SiblingMessage::Drain`].
+const DRAIN_VERSION: u32 = 2;
+
 /// The role of the sibling process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Role {
@@ -38,7 +41,7 @@
         now: SystemTime,
         effects: &mut Vec<Effect>,
     ) -> Result<Self, SettingsError> {
-        let HandoverState { list, serial, learned } = handover;
+        let HandoverState { list, serial, version, learned } = handover;
         let config = Config { exchanges: list, list_serial: serial, ..config.clone() };
         let mut engine = Self::new(&config, now, effects)?;
         for (topic, name, values) in learned {
@@ -52,8 +55,8 @@
                 });
             }
         }
-        (engine.sibling, engine.list_confirmed, engine.accepting_callers) =
-            (Some(Role::Predecessor), true, false);
+        (engine.sibling, engine.sibling_version) = (Some(Role::Predecessor), version);
+        (engine.list_confirmed, engine.accepting_callers) = (true, false);
         engine.apply_limits();
         effects.push(Effect::Accept(false));
         for limit in [MAX_CONNECT_WAIT, MAX_LIST_WAIT] {
@@ -92,7 +95,12 @@
 
     pub(super) fn handle_sibling_message(&mut self, message: SiblingMessage, effects: &mut Vec<Effect>) {
         match message {
-            SiblingMessage::HandoverRequest => self.hand_over(effects),
+            SiblingMessage::HandoverRequest { version } => {
+                self.sibling_version = version;
+                self.hand_over(effects);
+            }
+            SiblingMessage::Drain { since: Some(since) } => self.begin_drain(since),
+            SiblingMessage::Drain { since: None } => self.end_drain(),
             SiblingMessage::Serving if self.sibling.is_some() => {
                 self.sibling = Some(Role::Successor { serving: true });
                 self.accepting_callers = false;
@@ -145,7 +153,21 @@
                 effects.push(Effect::ToSibling(SiblingMessage::Learned { topic, exchange, values }));
             }
         }
-        effects.push(Effect::ToSibling(SiblingMessage::HandoverComplete { serial: self.list_serial }));
+        if self.operator_drain_since.is_some() {
+            self.tell_sibling_of_drain(effects);
+        }
+        effects.push(Effect::ToSibling(SiblingMessage::HandoverComplete {
+            serial: self.list_serial,
+            version: SIBLING_PROTOCOL_VERSION,
+        }));
+    }
+
+    /// Tells the sibling process whether an operator's drain is in progress: the two are one softswitch.
+    pub(super) fn tell_sibling_of_drain(&self, effects: &mut Vec<Effect>) {
+        if self.sibling.is_some() && self.sibling_version >= DRAIN_VERSION {
+            let since = self.operator_drain_since;
+            effects.push(Effect::ToSibling(SiblingMessage::Drain { since }));
+        }
     }
 
     /// Handles the end of a call that an exchange reported to the sibling process, which does not know the call.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -17,7 +17,7 @@
 
 use super::jsonl::{LineSplitter, SplitLine};
 use crate::config::parse_json;
-use crate::engine::{CallUid, HandoverState, Input, ListEntry, SiblingMessage};
+use crate::engine::{CallUid, HandoverState, Input, ListEntry, SIBLING_PROTOCOL_VERSION, SiblingMessage};
 use crate::interface::Readiness;
 
 /// Time for the whole handover. The predecessor begins its reply within one iteration of its event loop.
@@ -60,15 +60,25 @@
     line
 }
 
+/// A point in time in nanoseconds: a rounded start time would look like another start of an exchange.
+fn nanos(at: Option<SystemTime>) -> JsonValue {
+    let since_epoch = at.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
+    since_epoch.map_or(JsonValue::Null, |since_epoch| since_epoch.as_nanos().to_string().into())
+}
+
 /// Formats a message as one JSON line.
 pub fn format_message(message: &SiblingMessage) -> Vec<u8> {
     let call = |call: &CallUid| ("call", call.as_str().to_owned().into());
     match message {
-        SiblingMessage::HandoverRequest => json_line("hello", Vec::new()),
-        SiblingMessage::Serving => json_line("serving", Vec::new()),
-        SiblingMessage::HandoverComplete { serial } => {
-            json_line("whole", vec![("serial", f64::from(*serial).into())])
+        SiblingMessage::HandoverRequest { version } => {
+            json_line("hello", vec![("version", f64::from(*version).into())])
         }
+        SiblingMessage::Serving => json_line("serving", Vec::new()),
+        SiblingMessage::HandoverComplete { serial, version } => json_line(
+            "whole",
+            vec![("serial", f64::from(*serial).into()), ("version", f64::from(*version).into())],
+        ),
+        SiblingMessage::Drain { since } => json_line("drain", vec![("since", nanos(*since))]),
         SiblingMessage::HangUp { call: uid, cause } => {
             json_line("hangup", vec![call(uid), ("cause", f64::from(*cause).into())])
         }
@@ -87,17 +97,13 @@
             )
         }
         SiblingMessage::Exchange(entry) => {
-            // In nanoseconds: a rounded time would look like another start of the exchange.
-            let started_at = entry.started_at.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
-            let started_at =
-                started_at.map_or(JsonValue::Null, |since_epoch| since_epoch.as_nanos().to_string().into());
             let draining = entry.readiness == Readiness::Draining;
             let fields = vec![
                 ("name", entry.name.to_string().into()),
                 ("address", entry.address.to_string().into()),
                 ("number", f64::from(entry.number).into()),
                 ("zone", f64::from(entry.zone).into()),
-                ("born", started_at),
+                ("born", nanos(entry.started_at)),
                 ("draining", draining.into()),
             ];
             json_line("exchange", fields)
@@ -121,12 +127,26 @@
     };
     let flag = |key: &str| field(key)?.get::<bool>().copied().ok_or(MessageError);
     let call = || CallUid::parse(&text("call")?).ok_or(MessageError);
+    // The first release sent no version.
+    let version = || match object.get("version") {
+        Some(_) => Ok(integer("version", f64::from(u32::MAX))? as u32),
+        None => Ok(1),
+    };
+    let time = |key: &str| {
+        if field(key)?.is_null() {
+            return Ok(None);
+        }
+        let nanos: u64 = text(key)?.parse().map_err(|_| MessageError)?;
+        Ok(Some(UNIX_EPOCH + Duration::from_nanos(nanos)))
+    };
     Ok(match text("say")?.as_str() {
-        "hello" => SiblingMessage::HandoverRequest,
+        "hello" => SiblingMessage::HandoverRequest { version: version()? },
         "serving" => SiblingMessage::Serving,
-        "whole" => {
-            SiblingMessage::HandoverComplete { serial: integer("serial", f64::from(u32::MAX))? as u32 }
-        }
+        "whole" => SiblingMessage::HandoverComplete {
+            serial: integer("serial", f64::from(u32::MAX))? as u32,
+            version: version()?,
+        },
+        "drain" => SiblingMessage::Drain { since: time("since")? },
         "hangup" => SiblingMessage::HangUp { call: call()?, cause: integer("cause", 255.0)? as u8 },
         "ended" => SiblingMessage::Ended { call: call()?, cut: flag("cut")? },
         "release" => SiblingMessage::Release { call: call()?, cut: flag("cut")? },
@@ -136,22 +156,14 @@
             let exchange = if field("of")?.is_null() { None } else { Some(text("of")?.into()) };
             SiblingMessage::Learned { topic: text("topic")?, exchange, values: values.ok_or(MessageError)? }
         }
-        "exchange" => {
-            let started_at = if field("born")?.is_null() {
-                None
-            } else {
-                let nanos: u64 = text("born")?.parse().map_err(|_| MessageError)?;
-                Some(UNIX_EPOCH + Duration::from_nanos(nanos))
-            };
-            SiblingMessage::Exchange(ListEntry {
-                name: text("name")?.into(),
-                address: text("address")?.parse().map_err(|_| MessageError)?,
-                number: integer("number", f64::from(u32::MAX))? as u32,
-                zone: integer("zone", f64::from(u16::MAX))? as u16,
-                started_at,
-                readiness: if flag("draining")? { Readiness::Draining } else { Readiness::Ready },
-            })
-        }
+        "exchange" => SiblingMessage::Exchange(ListEntry {
+            name: text("name")?.into(),
+            address: text("address")?.parse().map_err(|_| MessageError)?,
+            number: integer("number", f64::from(u32::MAX))? as u32,
+            zone: integer("zone", f64::from(u16::MAX))? as u16,
+            started_at: time("born")?,
+            readiness: if flag("draining")? { Readiness::Draining } else { Readiness::Ready },
+        }),
         _ => return Err(MessageError),
     })
 }
@@ -173,7 +185,8 @@
     let mut stream = blocking::UnixStream::connect(socket_path)?;
     let deadline = SystemTime::now() + HANDOVER_TIMEOUT;
     stream.set_write_timeout(Some(HANDOVER_TIMEOUT))?;
-    stream.write_all(&format_message(&SiblingMessage::HandoverRequest))?;
+    stream
+        .write_all(&format_message(&SiblingMessage::HandoverRequest { version: SIBLING_PROTOCOL_VERSION }))?;
     let (mut state, mut lines, mut other_messages) =
         (HandoverState::default(), LineSplitter::default(), Vec::new());
     let (mut complete, mut received_bytes, mut buffer) = (false, 0, vec![0; 16 * 1024]);
@@ -194,7 +207,9 @@
                 Ok(SiblingMessage::Learned { topic, exchange, values }) => {
                     state.learned.push((topic, exchange, values))
                 }
-                Ok(SiblingMessage::HandoverComplete { serial }) => (state.serial, complete) = (serial, true),
+                Ok(SiblingMessage::HandoverComplete { serial, version }) => {
+                    (state.serial, state.version, complete) = (serial, version, true);
+                }
                 Ok(message) => other_messages.push(message),
                 Err(MessageError) => return ControlFlow::Break(()),
             }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -362,7 +362,7 @@
             let entry =
                 ListEntry { name: "s-1".into(), address, number, zone: number as u16, started_at, readiness };
             for message in [
-                SiblingMessage::HandoverRequest,
+                SiblingMessage::HandoverRequest { version: number },
                 SiblingMessage::Serving,
                 SiblingMessage::Exchange(entry),
                 SiblingMessage::Learned {
@@ -370,7 +370,9 @@
                     exchange: flag.then(|| "s-1".into()),
                     values,
                 },
-                SiblingMessage::HandoverComplete { serial: number },
+                SiblingMessage::HandoverComplete { serial: number, version: number },
+                SiblingMessage::Drain { since: Some(UNIX_EPOCH + Duration::from_nanos(u64::from(number))) },
+                SiblingMessage::Drain { since: None },
                 SiblingMessage::HangUp { call, cause: number as u8 },
                 SiblingMessage::Ended { call, cut: flag },
                 SiblingMessage::Release { call, cut: flag },
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -5,6 +5,8 @@
 mod endpoints;
 #[path = "common/engine_harness.rs"]
 mod engine_harness;
+#[path = "common/sibling_harness.rs"]
+mod sibling_harness;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -17,81 +19,14 @@
 
 use endpoints::{Iax2Endpoint, JsonLinesConn, ListeningExchange, launch_line, operator_request};
 use engine_harness::{CALLER_CONN, EngineHarness, call_uid, config};
+use sibling_harness::{deliver, serving_successor, successor, take_sibling_messages};
 use swiftlb::Controller;
-use swiftlb::engine::{
-    CallerMessage, Effect, Engine, ExchangeMessage, Front, HandoverState, Input, SiblingMessage,
-};
+use swiftlb::engine::{CallerMessage, Effect, ExchangeMessage, Front, Input, SiblingMessage};
 use swiftlb::iax2::Iax2Config;
 use swiftlb::iax2::frame::{FrameType, iax};
 use swiftlb::interface::{Event, ListUpdateKind, ListedExchange, Outcome, Readiness, Reason};
 use swiftlb::net::handover;
 
-/// Takes the messages that one process has sent to its sibling.
-fn take_sibling_messages(harness: &mut EngineHarness) -> Vec<SiblingMessage> {
-    let messages = harness.effects.iter().filter_map(|effect| match effect {
-        Effect::ToSibling(message) => Some(message.clone()),
-        _ => None,
-    });
-    let messages = messages.collect();
-    harness.effects.clear();
-    messages
-}
-
-/// Delivers these messages to the sibling.
-fn deliver(from: &mut EngineHarness, to: &mut EngineHarness) {
-    for message in take_sibling_messages(from) {
-        to.handle(Input::SiblingMessage(message));
-    }
-}
-
-/// Starts a successor of this process with the state that it hands over.
-fn successor(old: &mut EngineHarness) -> EngineHarness {
-    old.effects.clear();
-    old.handle(Input::SiblingMessage(SiblingMessage::HandoverRequest));
-    let mut state = HandoverState::default();
-    for message in take_sibling_messages(old) {
-        // Each message is formatted and parsed, as on the socket, so that the test notices lost fields.
-        let line = handover::format_message(&message);
-        match handover::parse_message(&line).expect("valid message") {
-            SiblingMessage::Exchange(entry) => state.list.push(entry),
-            SiblingMessage::Learned { topic, exchange, values } => {
-                state.learned.push((topic, exchange, values))
-            }
-            SiblingMessage::HandoverComplete { serial } => state.serial = serial,
-            message => panic!("{message:?}"),
-        }
-    }
-    let mut new = EngineHarness::unconnected(3);
-    new.effects.clear();
-    new.now = old.now;
-    new.exchange_conns.clear();
-    new.engine = Engine::take_over(&config(3), state, old.now, &mut new.effects).expect("valid settings");
-    let exchange_conns = new.effects.iter().filter_map(|effect| match effect {
-        Effect::ConnectExchange { exchange_conn, name, .. } => Some((name.to_string(), *exchange_conn)),
-        _ => None,
-    });
-    new.exchange_conns = exchange_conns.collect();
-    new
-}
-
-/// Starts a successor that serves; the old process knows that it does.
-fn serving_successor(old: &mut EngineHarness) -> EngineHarness {
-    let mut new = successor(old);
-    assert!(new.effects.contains(&Effect::Accept(false)) && !new.effects.contains(&Effect::Accept(true)));
-    for place in [1, 2] {
-        assert!(take_sibling_messages(&mut new).is_empty(), "it cannot serve yet");
-        new.handle(Input::ExchangeConnected {
-            exchange_conn: new.exchange_conn(place),
-            carries_calls: false,
-        });
-    }
-    assert!(new.effects.contains(&Effect::Accept(true)));
-    deliver(&mut new, old);
-    assert!(old.effects.contains(&Effect::Accept(false)));
-    new.handle(Input::CallerConnected { caller_conn: CALLER_CONN, front: Front::JsonLines });
-    new
-}
-
 #[test]
 fn a_successor_has_the_list_and_the_learned_values_of_its_predecessor() {
     let mut old = EngineHarness::new(3);
