Turn a set-up away whose id was used a short time ago

Cause: handle_setup compared an id with open and established calls only; the ids of ended calls were kept for other purposes.

Change: an id that is remembered as ended is treated as one in use.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -592,7 +592,8 @@
     // ---- calls ----
 
     /// Handles a set-up: offers the call to the decision module, fails it if it is invalid, or refuses it if it is
-    /// beyond the limits or arrives on the IAX2 front during a drain. An id in use closes a JSON-lines connection.
+    /// beyond the limits or arrives on the IAX2 front during a drain. An id in use, or used a short time ago, closes a
+    /// JSON-lines connection.
     fn handle_setup(
         &mut self,
         caller_conn: CallerConnId,
@@ -603,8 +604,9 @@
         let Some(front) = self.caller_conns.get(&caller_conn).map(|conn| conn.front) else {
             return;
         };
-        if self.call_ids.contains_key(&uid) {
-            // A message with this id could be taken for the outcome of the call that already has the id.
+        if self.call_ids.contains_key(&uid) || self.ended_calls.contains(&uid) {
+            // A message with this id could be taken for the outcome of the call that already has the id, or has had it; and
+            // a call that was sent to an exchange could run twice.
             return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
         }
         let class = self.classes.iter().position(|class| class.name == setup.class);
--- a/tests/exchange_releases.rs
+++ b/tests/exchange_releases.rs
@@ -90,11 +90,13 @@
     let lost = harness.exchange_conn(1);
     let exchange_conn = reconnect(&mut harness, lost);
     assert_eq!(harness.exchange_messages(1).last(), Some(&(exchange_conn, RELEASE)));
-    // Another call with the same id, as a later attempt: nothing that was sent before concerns it.
+    // A later attempt of the same call: nothing that was sent before concerns it.
     harness.advance(300);
-    harness.place_call(2, 1, 1_500);
-    hang_up(&mut harness, 2);
-    harness.place_call(2, 1, 1_500);
+    harness.place_call(2, 1, 3_000);
+    let exchange_conn = reconnect(&mut harness, exchange_conn);
+    assert_eq!(harness.exchange_messages(2).last(), Some(&(exchange_conn, RELEASE)));
+    harness.advance(600);
+    assert_eq!(harness.setup_count(2), 2);
     harness.answer(2, 1);
     harness.effects.clear();
     reconnect(&mut harness, exchange_conn);
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -83,8 +83,13 @@
             "{garbage:?}: the connection must be closed within 3 s"
         );
     }
+    let other_call = "00000000000000ab";
+    caller.send(&launch_line(other_call, 1, 1_500));
+    exchange_1.expect("launch", other_call);
+    // A set-up under the id of the one that has failed would be its second outcome.
     caller.send(&launch_line(CALL, 1, 1_500));
-    exchange_1.expect("launch", CALL);
+    assert_eq!(caller.expect("stop", other_call).cause(), 41.0);
+    assert!(caller.receive().is_none(), "the connection must be closed after an id that was used before");
 }
 
 #[test]
