Let a call id have one owner across both processes of a replacement

Cause: handle_setup compared an id with those of its own process only.

Change: engine/id_claims.rs: a set-up is sent only once the sibling has granted its id, or is late by 40 ms; the predecessor wins a tie and tells its successor the ids that it has used. Set-ups moved from engine/mod.rs to engine/setups.rs. Ids of invalid set-ups no longer count as ended calls: they hid the end of a call of an earlier process. One test of tests/replacement.rs now delivers the claim of its set-up.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -292,7 +292,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.mark_active(exchange_conn);
-        let unknown = !self.call_ids.contains_key(&uid) && !self.ended_calls.contains(&uid);
+        let unknown = !self.call_ids.contains_key(&uid) && !self.ended_calls.is_over(&uid);
         if unknown && self.exchange_conns.contains_key(&exchange_conn) {
             if self.sibling.is_some() && matches!(outcome, Outcome::Completed | Outcome::Reset) {
                 let cut = outcome == Outcome::Reset;
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -48,6 +48,7 @@
         for id in self.calls_where(open) {
             self.abandon_call(id, effects);
         }
+        self.drop_claimed_setups_of(caller_conn);
     }
 
     pub(super) fn caller_connected(
@@ -96,6 +97,9 @@
             *any_open |= !established;
             *any_established |= established;
         }
+        for caller_conn in self.id_claims.caller_conns() {
+            calls.entry(caller_conn).or_default().0 = true;
+        }
         let rank = |id: &CallerConnId, conn: &CallerConn| match calls.get(id).copied().unwrap_or_default() {
             (true, _) => None,
             (false, true) => Some(3),
@@ -161,7 +165,7 @@
         if self.call_ids.contains_key(&uid) {
             return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
         }
-        self.remember_turned_away(uid);
+        self.ended_calls.add_invalid(self.now, uid);
         effects.push(Effect::ToCaller {
             caller_conn,
             call: uid,
@@ -191,6 +195,10 @@
             self.abandon_attempt(id, effects);
             self.end_call_with_reason(id, CallerMessage::Failed { busy: false }, Some(reason), effects);
         }
+        for call in self.drop_claimed_setups_of(caller_conn) {
+            let message = CallerMessage::Failed { busy: false };
+            effects.push(Effect::ToCaller { caller_conn, call, message });
+        }
         self.close_caller_conn(caller_conn, effects);
     }
 }
--- a/src/engine/ended_calls.rs
+++ b/src/engine/ended_calls.rs
@@ -1,65 +1,33 @@
 //! The ids of calls that are over, or never began.
 //!
-//! They tell late messages about such a call from messages about one that was established before this process started.
-//! Callers determine how many there are, so the memory for them is bounded: the ids of refused set-ups, which no exchange
-//! knows, cannot displace those of calls that were sent to one.
+//! They tell late messages about such a call from messages about one that was established before this process started, and
+//! keep an id from being used twice. Callers determine how many there are, so the memory for them is bounded: the ids of
+//! set-ups that were turned away, which no exchange knows, cannot displace those of calls that were sent to one.
 
-use std::collections::{HashSet, VecDeque};
 use std::time::{Duration, SystemTime};
 
+use super::recent_ids::RecentIds;
 use super::{CallUid, elapsed};
 
 /// How long an id is kept.
 const RETENTION: Duration = Duration::from_secs(30);
-/// Maximum number of kept ids of calls that were sent to an exchange, or are established there: over 1,000 a second.
+/// Maximum number of kept ids of calls that an exchange may know: over 1,000 a second.
 const MAX_ATTEMPTED: usize = 32 * 1024;
 /// Maximum number of kept ids of calls that were never sent to an exchange.
 const MAX_UNATTEMPTED: usize = 8 * 1024;
+/// Maximum number of kept ids of invalid set-ups.
+const MAX_INVALID: usize = 1024;
 /// Shortest time between two reports of forgotten ids.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Ids in the order in which they were added, each once, with the time.
-#[derive(Debug, Default)]
-struct RecentIds {
-    queue: VecDeque<(SystemTime, CallUid)>,
-    ids: HashSet<CallUid>,
-}
-
-impl RecentIds {
-    fn add(&mut self, now: SystemTime, id: CallUid) {
-        if self.ids.insert(id) {
-            self.queue.push_back((now, id));
-        }
-    }
-
-    fn remove_oldest(&mut self) {
-        if let Some((_, id)) = self.queue.pop_front() {
-            self.ids.remove(&id);
-        }
-    }
-
-    fn expire(&mut self, now: SystemTime) {
-        while self.queue.front().is_some_and(|(at, _)| elapsed(*at, now) > RETENTION) {
-            self.remove_oldest();
-        }
-    }
-
-    /// Removes the oldest ids beyond a maximum number; returns how many.
-    fn limit(&mut self, max: usize) -> u64 {
-        let excess = self.queue.len().saturating_sub(max);
-        for _ in 0..excess {
-            self.remove_oldest();
-        }
-        excess as u64
-    }
-}
-
 /// The ids of calls that ended a short time ago.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EndedCalls {
     attempted: RecentIds,
     unattempted: RecentIds,
-    /// Ids that were removed before their time since the last report, by kind.
+    /// Ids of invalid set-ups. A call that another process has established may have such an id.
+    invalid: RecentIds,
+    /// Ids that were removed before their time since the last report.
     forgotten: ForgottenIds,
     reported_at: Option<SystemTime>,
 }
@@ -73,27 +41,55 @@
     pub(super) unattempted: u64,
 }
 
+impl Default for EndedCalls {
+    fn default() -> Self {
+        Self {
+            attempted: RecentIds::new(RETENTION, MAX_ATTEMPTED),
+            unattempted: RecentIds::new(RETENTION, MAX_UNATTEMPTED),
+            invalid: RecentIds::new(RETENTION, MAX_INVALID),
+            forgotten: ForgottenIds::default(),
+            reported_at: None,
+        }
+    }
+}
+
 impl EndedCalls {
-    /// Adds the id of a call; `attempted` says whether it was sent to an exchange.
+    /// Adds the id of a call; `attempted` says whether an exchange may know it.
     pub(super) fn add(&mut self, now: SystemTime, id: CallUid, attempted: bool) {
         if attempted {
             self.attempted.add(now, id);
-            self.forgotten.attempted += self.attempted.limit(MAX_ATTEMPTED);
         } else {
             self.unattempted.add(now, id);
-            self.forgotten.unattempted += self.unattempted.limit(MAX_UNATTEMPTED);
         }
     }
 
-    /// Whether this call is known to be over.
-    pub(super) fn contains(&self, id: &CallUid) -> bool {
-        self.attempted.ids.contains(id) || self.unattempted.ids.contains(id)
+    /// Adds the id of an invalid set-up.
+    pub(super) fn add_invalid(&mut self, now: SystemTime, id: CallUid) {
+        self.invalid.add(now, id);
+    }
+
+    /// Whether this id is known to have been used.
+    pub(super) fn was_used(&self, id: &CallUid) -> bool {
+        self.is_over(id) || self.invalid.contains(id)
+    }
+
+    /// Whether a call with this id has had its final outcome or its end.
+    pub(super) fn is_over(&self, id: &CallUid) -> bool {
+        self.attempted.contains(id) || self.unattempted.contains(id)
+    }
+
+    /// The ids, those of calls that an exchange may know first, and among them those that ended last.
+    pub(super) fn newest_first(&self) -> impl Iterator<Item = CallUid> {
+        self.attempted.newest_first().chain(self.unattempted.newest_first())
     }
 
     /// Removes the ids whose time is over.
     pub(super) fn expire(&mut self, now: SystemTime) {
         self.attempted.expire(now);
         self.unattempted.expire(now);
+        self.invalid.expire(now);
+        self.forgotten.attempted += self.attempted.take_forgotten();
+        self.forgotten.unattempted += self.unattempted.take_forgotten() + self.invalid.take_forgotten();
     }
 
     /// The numbers of ids that were removed before their time since the last report, if one is due.
@@ -106,8 +102,8 @@
         Some(std::mem::take(&mut self.forgotten))
     }
 
-    /// Number of entries, which are counted twice: in the order of their times and as a set.
+    /// Number of entries.
     pub(super) fn entry_count(&self) -> usize {
-        2 * (self.attempted.queue.len() + self.unattempted.queue.len())
+        self.attempted.entry_count() + self.unattempted.entry_count() + self.invalid.entry_count()
     }
 }
--- a/src/engine/hang_ups.rs
+++ b/src/engine/hang_ups.rs
@@ -18,7 +18,10 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(id) = self.call_ids.get(&uid).copied() else {
-            if caller_conn != NO_CALLER_CONN && !self.ended_calls.contains(&uid) {
+            if caller_conn != NO_CALLER_CONN
+                && !self.abandon_claimed_setup(caller_conn, uid)
+                && !self.ended_calls.was_used(&uid)
+            {
                 self.hang_up_unknown(caller_conn, UnknownHangUp { call: uid, cause }, effects);
             }
             return;
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -12,12 +12,15 @@
 
 /// Id of a call as all parties use it: 16 hexadecimal digits, with upper and lower case kept.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallUid([u8; 16]);
+pub struct CallUid([u8; Self::DIGITS]);
 
 impl CallUid {
+    /// Number of digits of an id.
+    pub const DIGITS: usize = 16;
+
     /// Parses an id; `None` unless the text is 16 hexadecimal digits.
     pub fn parse(text: &str) -> Option<Self> {
-        let digits: [u8; 16] = text.as_bytes().try_into().ok()?;
+        let digits: [u8; Self::DIGITS] = text.as_bytes().try_into().ok()?;
         digits.iter().all(u8::is_ascii_hexdigit).then_some(Self(digits))
     }
 
@@ -133,6 +136,23 @@
         /// When it began; `None` once it has ended.
         since: Option<SystemTime>,
     },
+    /// A set-up has arrived under this id: may the sender use it? From version 2 on.
+    Claim {
+        /// The call.
+        call: CallUid,
+    },
+    /// Reply to a claim. From version 2 on.
+    ClaimReply {
+        /// The call.
+        call: CallUid,
+        /// Whether the sender of the claim may use the id.
+        granted: bool,
+    },
+    /// From the predecessor: ids that it has used. From version 2 on.
+    UsedIds {
+        /// The calls.
+        calls: Vec<CallUid>,
+    },
     /// A caller hung up an established call that may belong to the other process.
     HangUp {
         /// The call.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -31,10 +31,13 @@
 mod ended_calls;
 mod exchanges;
 mod hang_ups;
+mod id_claims;
 mod messages;
+mod recent_ids;
 mod recording;
 mod releases;
 mod restarts;
+mod setups;
 mod shutdown;
 mod sibling;
 mod status;
@@ -45,6 +48,7 @@
 use callers::CallerConn;
 use ended_calls::EndedCalls;
 use exchanges::{ConnState, Exchange, ExchangeConn};
+use id_claims::IdClaims;
 pub use messages::{
     CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, HandoverState,
     Input, ListEntry, SIBLING_PROTOCOL_VERSION, SetUp, SiblingMessage,
@@ -52,7 +56,7 @@
 use recording::{AttemptResult, RecordBuffer};
 use shutdown::ShutdownDeadline;
 use sibling::Role;
-use swiftlb_record::{Event as RecordEvent, FailureReason, RefusalReason};
+use swiftlb_record::{Event as RecordEvent, FailureReason};
 use timers::{Timer, TimerKey, TimerQueue};
 use unknown_hang_ups::UnknownHangUps;
 
@@ -67,11 +71,6 @@
 /// An id that no caller connection has. It stands for a release without a connection of its own, and for a hang-up that
 /// the sibling process passed on, which must not be sent back to it.
 const NO_CALLER_CONN: CallerConnId = CallerConnId::MAX;
-/// Maximum number of open set-ups, those without a final outcome. Bounds the memory; any more would not get one in
-/// time.
-const MAX_OPEN_SETUPS: usize = 1_000;
-/// Maximum size of the descriptions of all open set-ups, in bytes.
-const MAX_OPEN_DESCRIPTION_BYTES: usize = 4 << 20;
 /// Time after its start from which a process may be ready although connections to exchanges are still being opened.
 const MAX_CONNECT_WAIT: Duration = Duration::from_secs(1);
 /// Time after its start from which a process may be ready although the resolver has not confirmed the list of
@@ -184,6 +183,7 @@
     caller_releases: CallerReleases,
     ended_calls: EndedCalls,
     unknown_hang_ups: UnknownHangUps,
+    id_claims: IdClaims,
     last_probe: u64,
     timers: TimerQueue,
     /// Events that the decision module has yet to handle.
@@ -246,6 +246,7 @@
             caller_releases: CallerReleases::default(),
             ended_calls: EndedCalls::default(),
             unknown_hang_ups: UnknownHangUps::default(),
+            id_claims: IdClaims::default(),
             // Probe ids count up from a value made from the seed. The seed differs between the processes of a
             // replacement, so they are very unlikely to use the same id.
             last_probe: !config.seed,
@@ -293,7 +294,8 @@
             + unconfirmed
             + self.caller_conns.len()
             + self.caller_releases.entry_count()
-            + self.unknown_hang_ups.len();
+            + self.unknown_hang_ups.len()
+            + self.id_claims.entry_count();
         self.calls.len()
             + exchanges
             + ids
@@ -417,7 +419,7 @@
                 };
                 let unavailable = listed().filter(|(id, exchange)| avoided(id, exchange)).count();
                 let gauges = Gauges {
-                    pending: self.calls.len(),
+                    pending: self.calls.len() + self.id_claims.waiting_count(),
                     waiting: self.open_setups,
                     members: listed().count(),
                     unavailable,
@@ -525,6 +527,7 @@
             Timer::CheckSilence(exchange_conn) => self.check_silence(exchange_conn, effects),
             Timer::CheckIdle(caller_conn) => self.close_if_idle(caller_conn, effects),
             Timer::CallerReleases => self.retry_caller_releases(effects),
+            Timer::ClaimOverdue(call) => self.claim_timed_out(call, effects),
             Timer::UnknownHangUps => self.pass_on_next_hang_up(effects),
             // `handle` checks the exit after every input.
             Timer::CheckStopped => self.cut_calls_after_max_stop_time(effects),
@@ -591,125 +594,6 @@
 
     // ---- calls ----
 
-    /// Handles a set-up: offers the call to the decision module, fails it if it is invalid, or refuses it if it is
-    /// beyond the limits or arrives on the IAX2 front during a drain. An id in use, or used a short time ago, closes a
-    /// JSON-lines connection.
-    fn handle_setup(
-        &mut self,
-        caller_conn: CallerConnId,
-        uid: CallUid,
-        setup: SetUp,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(front) = self.caller_conns.get(&caller_conn).map(|conn| conn.front) else {
-            return;
-        };
-        if self.call_ids.contains_key(&uid) || self.ended_calls.contains(&uid) {
-            // A message with this id could be taken for the outcome of the call that already has the id, or has had it; and
-            // a call that was sent to an exchange could run twice.
-            return self.abort_caller_conn(caller_conn, FailureReason::DuplicateCallId, effects);
-        }
-        let class = self.classes.iter().position(|class| class.name == setup.class);
-        // Values that are invalid for the class must not reach an exchange, which would accept them as they are.
-        let is_valid = |class: &usize| {
-            let class = &self.classes[*class];
-            setup.remaining.is_none_or(|remaining| remaining <= class.max_wait)
-                && setup.width.is_none_or(|width| width == class.width)
-        };
-        let Some(class) = class.filter(is_valid) else {
-            return self.fail_malformed(caller_conn, uid, effects);
-        };
-        self.conn_placed_setup(caller_conn, effects);
-        let bytes = setup.description.as_ref().map_or(0, |text| text.len());
-        let limits = &self.classes[class];
-        let width = limits.width;
-        // The caller's waiting time starts when the last byte of the set-up was received, not when it is handled.
-        let deadline = setup.received + setup.remaining.unwrap_or(limits.max_wait);
-        let fits = self.fits_before_exit(deadline, limits.target_setup);
-        if let Some(reason) = self.refusal_on_arrival(front, fits, bytes) {
-            return self.refuse_on_arrival(caller_conn, uid, &setup.class, reason, effects);
-        }
-        self.open_setups += 1;
-        self.open_description_bytes += bytes;
-        let deadline = self.deadline_before_exit(deadline);
-        self.last_call = self.last_call.wrapping_add(1);
-        let id = self.last_call;
-        self.controller_events.push_back(Event::Call(NewCall {
-            call: id,
-            class,
-            tenant: 0,
-            width: setup.width.unwrap_or(width),
-            dest: setup.dest,
-            called_number: setup.called_number.as_deref().map_or(0, called_number_id),
-            remaining_ms: duration_to_ms(elapsed(self.now, deadline)),
-            transit_from: setup.transit_from,
-            advised_route: setup.advised_route,
-            redial: false,
-            was_cut: setup.was_cut,
-        }));
-        let overdue_timer =
-            self.set_timer(elapsed(self.now, deadline) + DECISION_GRACE, Timer::DecisionOverdue(id));
-        self.call_ids.insert(uid, id);
-        self.calls.insert(
-            id,
-            Call {
-                uid,
-                caller_conn,
-                front,
-                class: setup.class,
-                dest: setup.dest,
-                width: setup.width.unwrap_or(width),
-                called_number: setup.called_number,
-                description: setup.description,
-                received_at: setup.received,
-                deadline,
-                phase: Phase::Waiting,
-                attempt_count: 0,
-                paused_until: None,
-                busy: false,
-                last_attempt: None,
-                overdue_timer: Some(overdue_timer),
-                attempt_timer: None,
-            },
-        );
-        self.record_setup(id, setup.dest, setup.transit_from, setup.was_cut);
-    }
-
-    /// Why a set-up is refused before the decision module sees it, if it is; `fits` says whether the shutdown leaves it
-    /// enough time.
-    fn refusal_on_arrival(
-        &self,
-        front: Front,
-        fits: bool,
-        description_bytes: usize,
-    ) -> Option<RefusalReason> {
-        // During an operator's drain, and while a successor serves after a request to stop, IAX2 set-ups are refused
-        // one by one: endpoints send them directly, without a platform that stops sending after a failed health check.
-        let draining = self.operator_drain_since.is_some() || self.stopping_for_successor;
-        if !fits || (draining && front == Front::Iax2) {
-            return Some(RefusalReason::Draining);
-        }
-        let too_many = self.open_setups >= MAX_OPEN_SETUPS
-            || self.open_description_bytes + description_bytes > MAX_OPEN_DESCRIPTION_BYTES;
-        too_many.then_some(RefusalReason::TooManySetUps)
-    }
-
-    fn refuse_on_arrival(
-        &mut self,
-        caller_conn: CallerConnId,
-        call: CallUid,
-        class: &str,
-        reason: RefusalReason,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.metrics.count_refused(class);
-        let retry_after = self.retry_after_exit().unwrap_or(self.max_retry_after);
-        self.remember_turned_away(call);
-        self.record_refusal(call, reason, retry_after);
-        effects.push(Effect::ToCaller { caller_conn, call, message: CallerMessage::Refused { retry_after } });
-        self.close_conn_after_outcome(caller_conn, effects);
-    }
-
     /// Ends a set-up: sends its caller the final outcome, and frees everything that the call holds.
     fn end_call(&mut self, id: CallId, message: CallerMessage, effects: &mut Vec<Effect>) {
         self.end_call_with_reason(id, message, None, effects);
@@ -785,25 +669,8 @@
                 forgotten.attempted, forgotten.unattempted
             )));
         }
+        self.expire_sibling_ids(effects);
         self.expire_caller_releases(effects);
         self.expire_releases();
     }
-
-    /// Stops counting a set-up towards the limits of open set-ups.
-    fn uncount_open_setup(&mut self, description: Option<&Arc<str>>) {
-        self.open_setups = self.open_setups.saturating_sub(1);
-        self.open_description_bytes =
-            self.open_description_bytes.saturating_sub(description.map_or(0, |text| text.len()));
-    }
-}
-
-/// The number called in the form of the decision module: the value of hexadecimal digits, as the platform sends them,
-/// otherwise an FNV-1a hash of the text. Never 0, which means that no number was called.
-fn called_number_id(number: &str) -> u64 {
-    let hash = || {
-        number
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
-    };
-    u64::from_str_radix(number, 16).unwrap_or_else(|_| hash()).max(1)
 }
--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -66,7 +66,7 @@
         if !self.expects_earlier_calls() {
             return;
         }
-        self.remember_turned_away(call);
+        self.remember_ended(call);
         let release = Release { call, cause, is_known_there: false, created_at: self.now };
         let is_listed = |exchange: &Exchange| {
             exchange.readiness != Readiness::Removed && Some(exchange.number) != self.home
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -140,6 +140,7 @@
             return;
         };
         let open = |call: &Call| !matches!(call.phase, Phase::Established { .. });
+        self.refuse_claimed_setups(effects);
         for id in self.calls_where(open) {
             self.end_at_shutdown(id, effects);
         }
@@ -414,7 +415,7 @@
     /// The caller connections with open set-ups.
     pub(super) fn conns_with_open_setups(&self) -> HashSet<CallerConnId> {
         let open = self.calls.values().filter(|call| !matches!(call.phase, Phase::Established { .. }));
-        open.map(|call| call.caller_conn).collect()
+        open.map(|call| call.caller_conn).chain(self.id_claims.caller_conns()).collect()
     }
 
     /// Closes the connection of a set-up that just got its final outcome, if no other set-up is open on it and an
@@ -447,7 +448,7 @@
     /// is due. Releases that wait for a caller delay it until the shutdown deadline, those that wait for an
     /// exchange for `EXCHANGE_RELEASE_WAIT`.
     pub fn may_exit(&self) -> bool {
-        if self.exchange_releases_delay_exit() {
+        if self.exchange_releases_delay_exit() || self.id_claims.waiting_count() > 0 {
             return false;
         }
         if self.stopping_for_successor {
@@ -485,7 +486,7 @@
 
     /// Logs a step of the shutdown with everything that may still delay the exit, or be lost with it.
     fn log_shutdown(&self, step: &str, effects: &mut Vec<Effect>) {
-        let established = self.calls.len() - self.open_setups;
+        let established = self.calls.len() + self.id_claims.waiting_count() - self.open_setups;
         let exchange_releases: usize =
             self.exchanges.values().map(|exchange| exchange.pending_releases.len()).sum();
         effects.push(Effect::Log(format!(
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -106,10 +106,14 @@
                 self.accepting_callers = false;
                 effects.push(Effect::Accept(false));
                 effects.push(Effect::Log("another process serves in the place of this one".to_owned()));
+                self.send_used_ids(effects);
                 if self.stopping_since.is_some() {
                     self.stop_for_successor(effects);
                 }
             }
+            SiblingMessage::Claim { call } => self.handle_claim(call, effects),
+            SiblingMessage::ClaimReply { call, granted } => self.handle_claim_reply(call, granted, effects),
+            SiblingMessage::UsedIds { calls } => self.remember_used_ids(calls),
             SiblingMessage::HangUp { call, cause } => self.hang_up(NO_CALLER_CONN, call, cause, effects),
             SiblingMessage::Ended { call, cut } => self.sibling_reported_end(call, cut, effects),
             SiblingMessage::Release { call, cut } => {
@@ -178,7 +182,7 @@
                 self.end_established(id, exchange, outcome, ReleasedBy::Exchange, effects);
             }
             Some(_) => {}
-            None if self.ended_calls.contains(&uid) => {}
+            None if self.ended_calls.is_over(&uid) => {}
             None => self.release_unknown_call(uid, outcome, None, effects),
         }
     }
@@ -187,6 +191,7 @@
     pub(super) fn sibling_disconnected(&mut self, effects: &mut Vec<Effect>) {
         let Some(role) = self.sibling.take() else { return };
         self.apply_limits();
+        self.end_claims(effects);
         effects.push(Effect::Log(format!("the other process is gone ({role:?})")));
         if !std::mem::replace(&mut self.accepting_callers, true) {
             effects.push(Effect::Accept(true));
--- a/src/engine/timers.rs
+++ b/src/engine/timers.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::SystemTime;
 
-use super::{CallId, CallerConnId, ExchangeConnId, ExchangeId};
+use super::{CallId, CallUid, CallerConnId, ExchangeConnId, ExchangeId};
 
 /// What happens when a timer expires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,6 +29,8 @@
     CheckIdle(CallerConnId),
     /// Try again to send the releases that wait for a caller connection.
     CallerReleases,
+    /// The sibling process is late with its reply to the claim of an id.
+    ClaimOverdue(CallUid),
     /// Pass on the next hang-up of an unknown call.
     UnknownHangUps,
     /// Check whether the process can exit after a request to stop.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -79,6 +79,14 @@
             vec![("serial", f64::from(*serial).into()), ("version", f64::from(*version).into())],
         ),
         SiblingMessage::Drain { since } => json_line("drain", vec![("since", nanos(*since))]),
+        SiblingMessage::Claim { call: uid } => json_line("claim", vec![call(uid)]),
+        SiblingMessage::ClaimReply { call: uid, granted } => {
+            json_line("claimed", vec![call(uid), ("granted", (*granted).into())])
+        }
+        SiblingMessage::UsedIds { calls } => {
+            let digits: String = calls.iter().map(CallUid::as_str).collect();
+            json_line("used", vec![("calls", digits.into())])
+        }
         SiblingMessage::HangUp { call: uid, cause } => {
             json_line("hangup", vec![call(uid), ("cause", f64::from(*cause).into())])
         }
@@ -111,6 +119,12 @@
     }
 }
 
+/// Parses call ids that are written one after the other.
+fn parse_ids(digits: &str) -> Result<Vec<CallUid>, MessageError> {
+    let ids = digits.as_bytes().chunks(CallUid::DIGITS);
+    ids.map(|id| std::str::from_utf8(id).ok().and_then(CallUid::parse).ok_or(MessageError)).collect()
+}
+
 /// Parses a message from one JSON line.
 ///
 /// # Errors
@@ -147,6 +161,9 @@
             version: version()?,
         },
         "drain" => SiblingMessage::Drain { since: time("since")? },
+        "claim" => SiblingMessage::Claim { call: call()? },
+        "claimed" => SiblingMessage::ClaimReply { call: call()?, granted: flag("granted")? },
+        "used" => SiblingMessage::UsedIds { calls: parse_ids(&text("calls")?)? },
         "hangup" => SiblingMessage::HangUp { call: call()?, cause: integer("cause", 255.0)? as u8 },
         "ended" => SiblingMessage::Ended { call: call()?, cut: flag("cut")? },
         "release" => SiblingMessage::Release { call: call()?, cut: flag("cut")? },
--- a/tests/call_ids.rs
+++ b/tests/call_ids.rs
@@ -76,3 +76,17 @@
     harness.answer(2, 1);
     assert!(matches!(harness.caller_messages(2)[..], [CallerMessage::Answered { .. }]));
 }
+
+/// Guards against an invalid set-up under the id of a call that an earlier process has established: the end of that call has
+/// to reach its caller all the same.
+#[test]
+fn an_invalid_set_up_does_not_hide_the_end_of_an_earlier_call_with_its_id() {
+    let mut harness = EngineHarness::new(3);
+    harness.handle(Input::CallerConnected { caller_conn: OTHER_CONN, front: Front::JsonLines });
+    harness.handle(Input::MalformedSetUp { caller_conn: OTHER_CONN, call: call_uid(1) });
+    harness.place_call(2, 2, 3_000);
+    harness.answer(2, 2);
+    harness.effects.clear();
+    harness.end_call(1, 1, Outcome::Completed, Reason::Unspecified);
+    assert_eq!(harness.caller_messages(1), [CallerMessage::Released { cut: false }]);
+}
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -38,6 +38,9 @@
     new.handle(Input::ExchangeConnected { exchange_conn: new.exchange_conn(1), carries_calls: false });
     new.handle(Input::CallerConnected { caller_conn: CALLER_CONN, front: Front::JsonLines });
     new.place_call(1, 1, 3_000);
+    // The old process is asked whether it has used the id.
+    deliver(&mut new, &mut old);
+    deliver(&mut old, &mut new);
     assert!(
         matches!(new.caller_messages(1)[..], [CallerMessage::Refused { .. }]),
         "the group is full: {:?}",
