--- a/src/engine/id_claims.rs
+++ b/src/engine/id_claims.rs
@@ -107,7 +107,8 @@
         let is_used = self.call_ids.contains_key(&call) || self.ended_calls.was_used(&call);
         let is_predecessor = matches!(self.sibling, Some(Role::Successor { .. }));
         let is_claimed = self.id_claims.waiting.contains_key(&call);
-        let granted = !is_used && !(is_claimed && is_predecessor);
+        let belongs_here = is_used || (is_claimed && is_predecessor);
+        let granted = !belongs_here;
         effects.push(Effect::ToSibling(SiblingMessage::ClaimReply { call, granted }));
         if granted {
             self.id_claims.sibling_ids.add(self.now, call);
