Read caller connections in fair turns, and exchanges before them

Cause: the loop read up to 16 KiB of every connection in the order of the poll, exchanges among them, and every field of a line was parsed before the line was looked at.

Change: net/read_queue.rs orders caller connections by what they have used (start-time fair queuing), 4 KiB a turn, connections on which calls were served at an eighth; exchanges and operators are handled again after 4 ms. Lines with more than 128 values are malformed.

--- a/src/config.rs
+++ b/src/config.rs
@@ -126,9 +126,25 @@
     parse_json_to_depth(MAX_DEPTH, text)
 }
 
+/// Parses JSON from an untrusted source that has at most this many values in objects and arrays. Each value takes many times
+/// the time and memory of its text.
+///
+/// # Errors
+/// If it is malformed, nested too deep, or has too many values.
+pub fn parse_json_with_values(max_values: usize, text: &str) -> Result<JsonValue, String> {
+    check_json_size(MAX_DEPTH, max_values, text)?;
+    text.parse::<JsonValue>().map_err(|error| error.to_string())
+}
+
 /// Like [`parse_json`], with another maximum nesting, for files that are parsed on a large stack.
 pub(crate) fn parse_json_to_depth(max_depth: usize, text: &str) -> Result<JsonValue, String> {
-    let (mut depth, mut in_string, mut escaped) = (0_usize, false, false);
+    check_json_size(max_depth, usize::MAX, text)?;
+    text.parse::<JsonValue>().map_err(|error| error.to_string())
+}
+
+/// Checks the nesting and the number of values of JSON before it is parsed.
+fn check_json_size(max_depth: usize, max_values: usize, text: &str) -> Result<(), String> {
+    let (mut depth, mut separators, mut in_string, mut escaped) = (0_usize, 0_usize, false, false);
     for byte in text.bytes() {
         match byte {
             _ if escaped => escaped = false,
@@ -141,10 +157,16 @@
                 }
             }
             b']' | b'}' if !in_string => depth = depth.saturating_sub(1),
+            b',' if !in_string => {
+                separators += 1;
+                if separators >= max_values {
+                    return Err("too many values".to_owned());
+                }
+            }
             _ => {}
         }
     }
-    text.parse::<JsonValue>().map_err(|error| error.to_string())
+    Ok(())
 }
 
 /// A JSON value and the path to it, which errors report.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -24,8 +24,8 @@
 const MAX_UNSENT_BYTES: usize = 256 * 1024;
 /// A connection whose remote end accepts no data for this long is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum number of reads from one connection before the others are read.
-const MAX_READS: usize = 4;
+/// Size of one read.
+const READ_BYTES: usize = 4 * 1024;
 
 /// How the receiving side of a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +72,8 @@
     line_timeout: Duration,
     /// Nothing more is read from the socket.
     read_closed: bool,
+    /// Bytes read so far.
+    read_bytes: u64,
     /// Queued messages, of which the first `unsent_start` bytes are written.
     unsent: Vec<u8>,
     unsent_start: usize,
@@ -94,6 +96,7 @@
             line_started: None,
             line_timeout,
             read_closed: false,
+            read_bytes: 0,
             unsent: Vec::new(),
             unsent_start: 0,
             written_bytes: 0,
@@ -150,17 +153,18 @@
         }
     }
 
-    /// Reads the available data and calls `each` for every line, with the time at which its last data was read. If
-    /// `each` returns `Break`, the connection is treated as corrupt and nothing more is read.
+    /// Reads available data, at most `max_reads` times 4 KiB, and calls `each` for every line, with the time at which its last
+    /// data was read. If `each` returns `Break`, the connection is treated as corrupt and nothing more is read.
     pub fn read_lines(
         &mut self,
+        max_reads: usize,
         mut each: impl FnMut(SplitLine, SystemTime) -> ControlFlow<()>,
     ) -> ReadOutcome {
         if self.read_closed {
             return ReadOutcome::WouldBlock;
         }
-        let mut buffer = [0; 4 * 1024];
-        for _ in 0..MAX_READS {
+        let mut buffer = [0; READ_BYTES];
+        for _ in 0..max_reads {
             let length = match self.stream.read(&mut buffer) {
                 Ok(0) => return ReadOutcome::Ended(EndReason::Closed),
                 Ok(length) => length,
@@ -171,6 +175,7 @@
                 }
                 Err(_) => return ReadOutcome::Ended(EndReason::Closed),
             };
+            self.read_bytes += length as u64;
             let now = SystemTime::now();
             if self.lines.push(&buffer[..length], |line| each(line, now)).is_break() {
                 // Further data stays unread in the socket buffer, so TCP flow control stops a sender that floods.
@@ -186,6 +191,11 @@
         ReadOutcome::More
     }
 
+    /// Number of bytes read since the connection was established.
+    pub fn read_bytes(&self) -> u64 {
+        self.read_bytes
+    }
+
     /// Queues a message; false if too many bytes are unsent.
     pub fn queue(&mut self, message: &[u8]) -> bool {
         self.unsent.extend_from_slice(message);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -18,9 +18,12 @@
 use super::handover::Handover;
 use super::jsonl::{self, CallerLine, ExchangeLine, LineError, SplitLine};
 use super::operator::{OperatorServer, RequestId};
+use super::read_queue::{ReadAmount, ReadQueue};
 use crate::config::Config;
 use crate::edge::SkewedClock;
-use crate::engine::{CallUid, CallerConnId, Effect, ExchangeConnId, ExchangeMessage, Front, Input};
+use crate::engine::{
+    CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, Input,
+};
 use crate::iax2::{Endpoint, Iax2Config, Output};
 use crate::interface::Number;
 use crate::ops::{OperatorReply, OperatorRequest};
@@ -35,6 +38,10 @@
 /// The same on a connection to an exchange. It is shorter: exchanges are on good links, and calls with a deadline
 /// wait for the replies on these connections.
 const EXCHANGE_LINE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of reads from a connection to an exchange before others are read. A line fits into them.
+const EXCHANGE_READS: usize = 4;
+/// Maximum number of reads from a caller connection at one turn.
+const CALLER_READS: usize = 1;
 /// Maximum number of connections accepted before other events are handled.
 const MAX_ACCEPTS: usize = 16;
 /// Time between two checks of the connections for expired timeouts.
@@ -109,6 +116,33 @@
     Failed,
 }
 
+/// What a line from a caller means for the reducer.
+enum LineInput {
+    /// An input.
+    Input(Input),
+    /// Nothing.
+    None,
+    /// The line is unreadable, and so is the rest of the connection; the input is for a call that the line names.
+    Corrupt(Option<Input>),
+}
+
+fn line_input(caller_conn: CallerConnId, line: &SplitLine, received: SystemTime) -> LineInput {
+    let malformed = |call| Input::MalformedSetUp { caller_conn, call };
+    let bytes = match line {
+        SplitLine::Complete(bytes) => bytes,
+        // The end of the line may never come, so the rest of the connection is not read.
+        SplitLine::TooLong(start) => return LineInput::Corrupt(jsonl::find_call_uid(start).map(malformed)),
+    };
+    match jsonl::parse_caller_line(bytes, received) {
+        Ok(CallerLine::SetUp(call, setup)) => LineInput::Input(Input::SetUp { caller_conn, call, setup }),
+        Ok(CallerLine::Stop(call, cause)) => LineInput::Input(Input::HangUp { caller_conn, call, cause }),
+        Ok(CallerLine::Check(call)) => LineInput::Input(Input::HealthCheck { caller_conn, call }),
+        Ok(CallerLine::Ignored) => LineInput::None,
+        Err(LineError::Malformed(call)) => LineInput::Input(malformed(call)),
+        Err(LineError::Unreadable) => LineInput::Corrupt(None),
+    }
+}
+
 /// Owns all connections and performs the effects of the reducer.
 pub(super) struct Driver {
     report_field_names: Arc<[String]>,
@@ -127,8 +161,10 @@
     closed_connections: ClosedConnections,
     /// Connections with queued messages.
     unsent: Vec<Token>,
-    /// Connections with more data to read.
+    /// Connections to exchanges with more data to read.
     readable: Vec<Token>,
+    /// Caller connections with data to read.
+    read_queue: ReadQueue,
     timeout_check_at: SystemTime,
     /// Whether connections from callers are accepted.
     accepting: bool,
@@ -167,6 +203,7 @@
             closed_connections: ClosedConnections::default(),
             unsent: Vec::new(),
             readable: Vec::new(),
+            read_queue: ReadQueue::default(),
             timeout_check_at: SystemTime::now(),
             accepting: true,
             operator_server,
@@ -208,7 +245,8 @@
     pub(super) fn next_timeout(&self) -> Option<SystemTime> {
         let iax2_timeout = self.iax2_front.as_ref().and_then(|iax2| iax2.endpoint.next_timeout());
         // A time in the past, so that the next poll does not wait.
-        let readable = (!self.readable.is_empty()).then_some(SystemTime::UNIX_EPOCH);
+        let has_readable = !self.readable.is_empty() || !self.read_queue.is_empty();
+        let readable = has_readable.then_some(SystemTime::UNIX_EPOCH);
         let idle = self.caller_conns.is_empty() && self.exchange_conns.is_empty() && self.closing.is_empty();
         let timeout_check = (!idle || !self.closed_connections.is_empty()).then_some(self.timeout_check_at);
         let operator_server = self.operator_server.as_ref().and_then(OperatorServer::next_timeout);
@@ -318,7 +356,7 @@
         }
     }
 
-    /// Takes the connections with more data to read. A connection that still has data after one read is listed
+    /// Takes the connections to exchanges with more data to read. A connection that still has data after one read is listed
     /// again for the next iteration of the loop, so that the poll runs in between.
     pub(super) fn take_readable(&mut self) -> Vec<Token> {
         std::mem::take(&mut self.readable)
@@ -331,6 +369,13 @@
         }
     }
 
+    /// Reads the caller connection whose turn it is; false if none has data.
+    pub(super) fn read_next_caller(&mut self) -> bool {
+        let Some(caller_conn) = self.read_queue.take_next() else { return false };
+        self.read_caller(caller_conn);
+        true
+    }
+
     /// Handles an event of the poll.
     pub(super) fn handle_event(&mut self, token: Token) {
         if OperatorServer::owns(token) {
@@ -345,7 +390,12 @@
         match (token, ConnId::from_token(token)) {
             (WAKER, _) => {}
             (LISTENER, _) => self.accept(),
-            (_, ConnId::Caller(caller_conn)) => self.read_caller(caller_conn),
+            (_, ConnId::Caller(caller_conn)) => {
+                if let Some(connection) = self.caller_conns.get_mut(&caller_conn) {
+                    connection.flush();
+                    self.read_queue.add(caller_conn);
+                }
+            }
             (_, ConnId::Exchange(exchange_conn)) => self.read_exchange(exchange_conn),
         }
     }
@@ -431,33 +481,37 @@
         }
     }
 
-    fn read_caller(&mut self, caller_conn: CallerConnId) {
-        let Some(connection) = self.caller_conns.get_mut(&caller_conn) else { return };
+    /// Reads a caller connection once.
+    fn read_caller(&mut self, caller_conn: CallerConnId) -> Option<ReadOutcome> {
+        let connection = self.caller_conns.get_mut(&caller_conn)?;
         connection.flush();
+        let read_before = connection.read_bytes();
         let inputs = &mut self.inputs;
-        let read = connection.read_lines(|line, received| {
-            inputs.push_back(match &line {
-                SplitLine::Complete(bytes) => match jsonl::parse_caller_line(bytes, received) {
-                    Ok(CallerLine::SetUp(call, setup)) => Input::SetUp { caller_conn, call, setup },
-                    Ok(CallerLine::Stop(call, cause)) => Input::HangUp { caller_conn, call, cause },
-                    Ok(CallerLine::Check(call)) => Input::HealthCheck { caller_conn, call },
-                    Ok(CallerLine::Ignored) => return ControlFlow::Continue(()),
-                    Err(LineError::Malformed(call)) => Input::MalformedSetUp { caller_conn, call },
-                    Err(LineError::Unreadable) => return ControlFlow::Break(()),
-                },
-                // The end of the line may never come, so the rest of the connection is not read.
-                SplitLine::TooLong(start) => {
-                    inputs.extend(
-                        jsonl::find_call_uid(start).map(|call| Input::MalformedSetUp { caller_conn, call }),
-                    );
-                    return ControlFlow::Break(());
+        let mut lines = 0;
+        let read = connection.read_lines(CALLER_READS, |line, received| {
+            lines += 1;
+            match line_input(caller_conn, &line, received) {
+                LineInput::Input(input) => {
+                    inputs.push_back(input);
+                    ControlFlow::Continue(())
                 }
-            });
-            ControlFlow::Continue(())
+                LineInput::None => ControlFlow::Continue(()),
+                LineInput::Corrupt(input) => {
+                    inputs.extend(input);
+                    ControlFlow::Break(())
+                }
+            }
         });
+        let amount = ReadAmount { bytes: connection.read_bytes() - read_before, lines };
+        self.read_queue.charge(caller_conn, amount);
+        self.handle_caller_read(caller_conn, read);
+        Some(read)
+    }
+
+    fn handle_caller_read(&mut self, caller_conn: CallerConnId, read: ReadOutcome) {
         match read {
             ReadOutcome::WouldBlock => {}
-            ReadOutcome::More => self.readable.push(ConnId::Caller(caller_conn).token()),
+            ReadOutcome::More => self.read_queue.add(caller_conn),
             // The reducer fails the open set-ups of the connection and then closes it.
             ReadOutcome::Ended(EndReason::Corrupt) => {
                 self.inputs.push_back(Input::CallerStreamCorrupt { caller_conn })
@@ -466,8 +520,8 @@
                 self.inputs.push_back(Input::CallerDisconnected { caller_conn });
                 if reason == EndReason::Reset {
                     self.inputs.push_back(Input::CallerMessagesUnread { caller_conn });
-                    self.caller_conns.remove(&caller_conn);
-                } else if let Some(connection) = self.caller_conns.remove(&caller_conn) {
+                    self.remove_caller(caller_conn);
+                } else if let Some(connection) = self.remove_caller(caller_conn) {
                     let unread = self.closed_connections.push(
                         SystemTime::now() + CLOSED_CONN_KEEP_TIME,
                         caller_conn,
@@ -479,6 +533,12 @@
         }
     }
 
+    /// Removes a caller connection; dropping it closes it.
+    fn remove_caller(&mut self, caller_conn: CallerConnId) -> Option<Connection> {
+        self.read_queue.remove(caller_conn);
+        self.caller_conns.remove(&caller_conn)
+    }
+
     fn read_exchange(&mut self, exchange_conn: ExchangeConnId) {
         let Some(connection) = self.exchange_conns.get_mut(&exchange_conn) else { return };
         if connection.is_connecting() {
@@ -500,7 +560,7 @@
         self.report_written_attempts(attempts);
         let Some(connection) = self.exchange_conns.get_mut(&exchange_conn) else { return };
         let (inputs, names) = (&mut self.inputs, &self.report_field_names);
-        let read = connection.read_lines(|line, _| {
+        let read = connection.read_lines(EXCHANGE_READS, |line, _| {
             let parsed = match &line {
                 SplitLine::Complete(bytes) => jsonl::parse_exchange_line(bytes, names),
                 SplitLine::TooLong(_) => Err(LineError::Unreadable),
@@ -548,7 +608,7 @@
             if expired == ExpiredTimeout::Line {
                 self.inputs.push_back(Input::CallerStreamCorrupt { caller_conn });
             } else {
-                self.caller_conns.remove(&caller_conn);
+                self.remove_caller(caller_conn);
                 self.inputs.push_back(Input::CallerDisconnected { caller_conn });
             }
         }
@@ -604,6 +664,11 @@
                 });
             }
             Effect::ToCaller { caller_conn, call, message } => {
+                if matches!(message, CallerMessage::Answered { .. })
+                    && self.caller_conns.contains_key(&caller_conn)
+                {
+                    self.read_queue.mark_served(caller_conn);
+                }
                 self.send(ConnId::Caller(caller_conn), &jsonl::format_caller_message(call, &message));
             }
             Effect::ToExchange { exchange_conn, call, message } => {
@@ -616,7 +681,7 @@
             Effect::StopListening => self.stop_listening(),
             Effect::ToOperator { request_id, reply } => self.reply_to_operator(request_id, &reply),
             Effect::CloseCallerConn { caller_conn } => {
-                if let Some(mut connection) = self.caller_conns.remove(&caller_conn) {
+                if let Some(mut connection) = self.remove_caller(caller_conn) {
                     connection.flush();
                     if !connection.is_flushed() {
                         self.closing.push((SystemTime::now() + CLOSE_TIMEOUT, connection));
@@ -687,14 +752,16 @@
     /// Reads a caller connection; whether no set-up from it waits that the reducer has to handle first.
     fn has_no_unread_line(&mut self, caller_conn: CallerConnId) -> bool {
         let queued = self.inputs.len();
-        self.read_caller(caller_conn);
+        if self.read_caller(caller_conn) == Some(ReadOutcome::More) {
+            return false;
+        }
         let is_from_it =
             |input: &Input| matches!(input, Input::SetUp { caller_conn: from, .. } if *from == caller_conn);
         self.inputs.len() == queued && !self.inputs.iter().any(is_from_it)
     }
 
     fn close_caller_conn(&mut self, caller_conn: CallerConnId) {
-        let Some(mut connection) = self.caller_conns.remove(&caller_conn) else { return };
+        let Some(mut connection) = self.remove_caller(caller_conn) else { return };
         connection.flush();
         // Goes before all queued inputs, so that the reducer sends nothing more on this connection.
         self.inputs.push_front(Input::CallerDisconnected { caller_conn });
@@ -741,7 +808,7 @@
         }
         match conn_id {
             ConnId::Caller(caller_conn) => {
-                self.caller_conns.remove(&caller_conn);
+                self.remove_caller(caller_conn);
                 self.inputs.push_back(Input::CallerDisconnected { caller_conn });
             }
             ConnId::Exchange(exchange_conn) => self.drop_exchange_conn(exchange_conn),
--- a/src/net/jsonl.rs
+++ b/src/net/jsonl.rs
@@ -9,13 +9,16 @@
 use thiserror::Error;
 use tinyjson::JsonValue;
 
-use crate::config::parse_json;
+use crate::config::parse_json_with_values;
 use crate::engine::{CallUid, CallerMessage, ExchangeMessage, SetUp, duration_from_ms, duration_to_ms};
 use crate::interface::{LoadReport, Outcome, Reason};
 
 /// Maximum length of a line with its line feed, in bytes.
 pub const MAX_LINE_BYTES: usize = 16 * 1024;
 
+/// Maximum number of values in a line. A set-up has about ten.
+const MAX_LINE_VALUES: usize = 128;
+
 /// Maximum wait at the processor of an exchange. A longer reported wait is reduced to it, so that a wrong value does
 /// not exclude the exchange for good.
 const MAX_WAIT_MS: f64 = 60_000.0;
@@ -94,7 +97,9 @@
         // The call id may be readable even if the line is not valid JSON.
         let malformed = || find_call_uid(line).map_or(LineError::Unreadable, LineError::Malformed);
         let text = std::str::from_utf8(line).map_err(|_| malformed())?;
-        let Ok(JsonValue::Object(fields)) = parse_json(text) else { return Err(malformed()) };
+        let Ok(JsonValue::Object(fields)) = parse_json_with_values(MAX_LINE_VALUES, text) else {
+            return Err(malformed());
+        };
         let uid = fields.get("uid").and_then(|v| v.get::<String>());
         let call = uid.and_then(|uid| CallUid::parse(uid)).ok_or(LineError::Unreadable)?;
         let kind = fields.get("kind").and_then(|v| v.get::<String>()).cloned();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,11 +33,14 @@
 pub mod handover;
 pub mod jsonl;
 mod operator;
+pub mod read_queue;
 
 /// Maximum number of messages queued for the event loop; senders block while the queue is full.
 const MAX_QUEUED_MESSAGES: usize = 512;
 /// Maximum number of queued address changes of the resolver. The resolver thread reads them ten times a second.
 const MAX_QUEUED_SOURCES: usize = 16;
+/// Time for which callers are read before the poll runs again, so that exchanges and operators do not wait for longer.
+const CALLER_READ_TIME: Duration = Duration::from_millis(4);
 /// Maximum number of events per poll.
 const MAX_POLL_EVENTS: usize = 256;
 /// Time between attempts to bind the IAX2 address while another process still holds it.
@@ -358,7 +361,8 @@
                 _ => {}
             }
             // Operators' requests come first, so that load from callers cannot delay them.
-            // The reducer runs after each connection, so that no connection can queue inputs ahead of the others.
+            // The reducer runs after each connection, so that no connection can queue inputs ahead of the others. Callers
+            // are only registered here and read below.
             for event in events.iter().filter(|event| OperatorServer::owns(event.token())) {
                 driver.handle_event(event.token());
                 run_reducer(&mut driver, &mut engine);
@@ -375,6 +379,13 @@
                 driver.handle_event(token);
                 run_reducer(&mut driver, &mut engine);
             }
+            let reads_end = SystemTime::now() + CALLER_READ_TIME;
+            while driver.read_next_caller() {
+                run_reducer(&mut driver, &mut engine);
+                if SystemTime::now() >= reads_end {
+                    break;
+                }
+            }
             driver.handle_timeouts();
         }
     }
--- /dev/null
+++ b/tests/crowds.rs
@@ -0,0 +1,155 @@
+//! Callers that leave, flood or do not read, and the program on sockets.
+
+#[path = "common/endpoints.rs"]
+mod endpoints;
+#[path = "common/engine_harness.rs"]
+mod engine_harness;
+#[path = "common/program.rs"]
+mod program;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant, SystemTime};
+
+use endpoints::{JsonLinesConn, launch_line, operator_request};
+use program::{Program, shared_setup};
+use swiftlb::net::read_queue::{ReadAmount, ReadQueue};
+
+/// Time within which a call of the class should be answered, as the configuration says.
+const TARGET_SETUP: Duration = Duration::from_millis(1_000);
+
+fn call(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// Places a call and waits for its answer.
+fn set_up(caller: &mut JsonLinesConn, exchange: &mut JsonLinesConn, call: &str) {
+    caller.send(&launch_line(call, 1, 3_000));
+    exchange.expect("launch", call);
+    exchange.send(&format!(r#"{{"kind":"running","uid":"{call}","meta":{{}},"body":""}}"#));
+    caller.expect("running", call);
+}
+
+/// Sends this text again and again without reading, on new connections when they are closed, until the end of the flood.
+fn flood(address: SocketAddr, text: &str, is_over: &AtomicBool) {
+    while !is_over.load(Ordering::Relaxed) {
+        let Ok(mut stream) = TcpStream::connect(address) else { continue };
+        let _ = stream.set_write_timeout(Some(Duration::from_millis(200)));
+        while !is_over.load(Ordering::Relaxed) && stream.write_all(text.as_bytes()).is_ok() {}
+    }
+}
+
+/// Guards against callers that are answered late or never while others send small requests or lines of very many fields at
+/// full speed and do not read (pictures a and b), and against operators that wait as long.
+#[test]
+fn callers_and_operators_are_answered_in_time_while_others_flood() {
+    let (listener, directory, exchange, _resolver) = shared_setup("flood");
+    let program = Program::start(&listener, &directory.0);
+    let address = listener.local_addr().expect("local address");
+    let mut exchange = exchange.accept();
+    let mut caller = JsonLinesConn::connect(address);
+    set_up(&mut caller, &mut exchange, &call(1));
+    let check = r#"{"kind":"check","uid":"00000000000000ff","meta":{},"reason":0}"#;
+    let fields: Vec<String> = (0..1_700).map(|i| format!(r#""{i:x}":1"#)).collect();
+    let many_fields = format!(r#"{{"kind":"launch","uid":"{}","meta":{{{}}}}}"#, call(7), fields.join(","));
+    let texts = [format!("{check}\n").repeat(1_000), format!("{many_fields}\n").repeat(4)];
+    let is_over = Arc::new(AtomicBool::new(false));
+    let floods: Vec<_> = (0..60)
+        .map(|i| {
+            let (text, is_over) = (texts[i % 2].clone(), is_over.clone());
+            std::thread::spawn(move || flood(address, &text, &is_over))
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(3);
+    let mut slowest = Duration::ZERO;
+    for number in 1_000.. {
+        let begin = Instant::now();
+        if begin >= end {
+            break;
+        }
+        set_up(&mut caller, &mut exchange, &call(number));
+        slowest = slowest.max(begin.elapsed());
+        let asked = Instant::now();
+        assert_eq!(operator_request(program.operator_address, "GET /ops/stats").0, 200);
+        slowest = slowest.max(asked.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    is_over.store(true, Ordering::Relaxed);
+    floods.into_iter().for_each(|flood| flood.join().expect("a thread without a panic"));
+    assert!(slowest < TARGET_SETUP, "the slowest answer took {slowest:?}");
+}
+
+/// Reads connections in turn, each of which has this amount at every turn; returns how often each was read.
+fn turns(queue: &mut ReadQueue, connections: &[(u64, ReadAmount)], turns: usize) -> Vec<usize> {
+    let mut counts = vec![0; connections.len()];
+    connections.iter().for_each(|(conn, _)| queue.add(*conn));
+    for _ in 0..turns {
+        let conn = queue.take_next().expect("a connection that waits");
+        let index = connections.iter().position(|(id, _)| *id == conn).expect("one of them");
+        counts[index] += 1;
+        queue.charge(conn, connections[index].1);
+        queue.add(conn);
+    }
+    counts
+}
+
+const FLOOD: ReadAmount = ReadAmount { bytes: 4_096, lines: 60 };
+const ONE_SETUP: ReadAmount = ReadAmount { bytes: 300, lines: 1 };
+
+/// Guards against a client whose turn comes only after all that others have sent.
+#[test]
+fn a_connection_that_sends_little_is_read_before_those_that_flood() {
+    let mut queue = ReadQueue::default();
+    let flooders: Vec<(u64, ReadAmount)> = (1..=40).map(|conn| (conn, FLOOD)).collect();
+    turns(&mut queue, &flooders, 4_000);
+    // A client that has just connected, and one that was idle.
+    for conn in [100, 101] {
+        queue.add(conn);
+        let before = (0..).take_while(|_| {
+            let next = queue.take_next().expect("a connection that waits");
+            queue.charge(next, FLOOD);
+            queue.add(next);
+            next != conn
+        });
+        assert!(before.count() <= 41, "at most one turn of each of the others");
+    }
+}
+
+/// Guards against a sound caller that gets no more of the process than each of many bad clients.
+#[test]
+fn a_connection_on_which_calls_were_served_is_read_more_often() {
+    let mut queue = ReadQueue::default();
+    queue.mark_served(1);
+    let mut connections: Vec<(u64, ReadAmount)> = (2..=41).map(|conn| (conn, FLOOD)).collect();
+    connections.push((1, ONE_SETUP));
+    let counts = turns(&mut queue, &connections, 4_000);
+    let (served, most) = (counts[40], counts[..40].iter().copied().max().unwrap_or_default());
+    assert!(served > 50 * most, "{served} turns, and {most} of a bad client");
+}
+
+/// Guards against a turn that is kept for a connection which is closed, and against state that stays behind.
+#[test]
+fn a_closed_connection_has_no_turn() {
+    let mut queue = ReadQueue::default();
+    queue.add(1);
+    queue.add(2);
+    queue.remove(1);
+    assert_eq!((queue.take_next(), queue.take_next()), (Some(2), None));
+    assert!(queue.is_empty());
+}
+
+/// Guards against lines of very many fields, each of which costs many times the time and memory of its bytes.
+#[test]
+fn a_line_of_very_many_fields_is_malformed_and_not_parsed() {
+    use swiftlb::net::jsonl::{LineError, parse_caller_line};
+    let fields: Vec<String> = (0..2_000).map(|i| format!(r#""{i:x}":1"#)).collect();
+    let line = format!(r#"{{"kind":"check","uid":"00000000000000ff","meta":{{{}}}}}"#, fields.join(","));
+    let result = parse_caller_line(line.as_bytes(), SystemTime::now());
+    assert!(matches!(result, Err(LineError::Malformed(_))), "{result:?}");
+    // Commas inside a description do not count.
+    let body = ",".repeat(3_000);
+    let setup = launch_line("00000000000000ff", 1, 1_500).replace("v=0", &body);
+    assert!(parse_caller_line(setup.as_bytes(), SystemTime::now()).is_ok());
+}
