Bound incomplete lines and unread replies of all callers together

Cause: each connection had a limit of its own (256 KiB of replies, 16 KiB of a line), all together had none, and memory_mb was not read. A queue of replies that never became empty kept all bytes ever written.

Connection removes written bytes from its queue.

--- a/src/config.rs
+++ b/src/config.rs
@@ -52,6 +52,8 @@
     pub seed: u64,
     /// Maximum number of file descriptors.
     pub max_sockets: usize,
+    /// Memory beyond which the platform kills the process, in bytes.
+    pub memory_limit_bytes: usize,
     /// Address of the resolver.
     pub resolver: SocketAddr,
     /// Serial of the initial list of exchanges.
@@ -99,6 +101,7 @@
             },
             seed: u64::from_str_radix(&top.text("seed")?, 16)?,
             max_sockets: top.get("limits")?.number("sockets")? as usize,
+            memory_limit_bytes: memory_limit_bytes(&top.get("limits")?),
             resolver: top.text("names")?.parse()?,
             list_serial: known.number("n")? as u32,
             exchanges: parse_exchanges(&known, &zones)?,
@@ -114,6 +117,14 @@
     }
 }
 
+/// The memory limit of a configuration that has none.
+const DEFAULT_MEMORY_MB: f64 = 32.0;
+
+fn memory_limit_bytes(limits: &JsonNode<'_>) -> usize {
+    let memory_mb = limits.number("memory_mb").unwrap_or(DEFAULT_MEMORY_MB);
+    (memory_mb * 1_048_576.0) as usize
+}
+
 /// Maximum nesting of messages and configurations. The parser recurses, so a line of brackets from a hostile sender
 /// would otherwise overflow the small stack of a thread and abort the process.
 const MAX_DEPTH: usize = 24;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -26,6 +26,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Size of one read.
 const READ_BYTES: usize = 4 * 1024;
+/// Written bytes at the front of the queue of unsent ones from which on they are removed.
+const MAX_WRITTEN_BYTES_KEPT: usize = 16 * 1024;
 
 /// How the receiving side of a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +74,8 @@
     line_timeout: Duration,
     /// Nothing more is read from the socket.
     read_closed: bool,
+    /// Whether the remote end has closed the connection, or its sending side. There may be unread data before the end.
+    remote_closed: bool,
     /// Bytes read so far.
     read_bytes: u64,
     /// Queued messages, of which the first `unsent_start` bytes are written.
@@ -96,6 +100,7 @@
             line_started: None,
             line_timeout,
             read_closed: false,
+            remote_closed: false,
             read_bytes: 0,
             unsent: Vec::new(),
             unsent_start: 0,
@@ -191,11 +196,31 @@
         ReadOutcome::More
     }
 
+    /// Registers that the remote end has closed the connection, or its sending side.
+    pub fn mark_remote_closed(&mut self) {
+        self.remote_closed = true;
+    }
+
+    /// Whether the remote end is known to have closed the connection, or its sending side.
+    pub fn is_remote_closed(&self) -> bool {
+        self.remote_closed
+    }
+
     /// Number of bytes read since the connection was established.
     pub fn read_bytes(&self) -> u64 {
         self.read_bytes
     }
 
+    /// Memory that the incomplete line takes up, in bytes.
+    pub fn partial_line_bytes(&self) -> usize {
+        self.lines.buffered_bytes()
+    }
+
+    /// Memory that queued messages take up, in bytes.
+    pub fn unsent_bytes(&self) -> usize {
+        self.unsent.capacity()
+    }
+
     /// Queues a message; false if too many bytes are unsent.
     pub fn queue(&mut self, message: &[u8]) -> bool {
         self.unsent.extend_from_slice(message);
@@ -230,7 +255,7 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.write_blocked_since.get_or_insert_with(SystemTime::now);
-                    return;
+                    return self.remove_written_bytes();
                 }
                 Err(_) => break,
             }
@@ -238,6 +263,14 @@
         (self.unsent, self.unsent_start, self.write_blocked_since) = (Vec::new(), 0, None);
     }
 
+    /// Removes the bytes that are written from the front of the queue, which may never become empty.
+    fn remove_written_bytes(&mut self) {
+        if self.unsent_start >= MAX_WRITTEN_BYTES_KEPT {
+            self.unsent.drain(..self.unsent_start);
+            self.unsent_start = 0;
+        }
+    }
+
     /// Whether an incomplete line has been received.
     pub fn has_partial_line(&self) -> bool {
         self.lines.has_partial_line()
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,6 +13,7 @@
 use swiftlb_record::{Record, Recorder};
 
 use super::LoopMessage;
+use super::buffer_limits::{largest_beyond, max_buffer_bytes};
 use super::connection::{ClosedConnections, Connection, EndReason, ExpiredTimeout, ReadOutcome};
 use super::dns::ListSource;
 use super::handover::Handover;
@@ -165,6 +166,8 @@
     readable: Vec<Token>,
     /// Caller connections with data to read.
     read_queue: ReadQueue,
+    /// Maximum size of the incomplete lines from callers, and of the replies that they have not read.
+    max_buffer_bytes: usize,
     timeout_check_at: SystemTime,
     /// Whether connections from callers are accepted.
     accepting: bool,
@@ -204,6 +207,7 @@
             unsent: Vec::new(),
             readable: Vec::new(),
             read_queue: ReadQueue::default(),
+            max_buffer_bytes: max_buffer_bytes(config.memory_limit_bytes),
             timeout_check_at: SystemTime::now(),
             accepting: true,
             operator_server,
@@ -539,6 +543,31 @@
         self.caller_conns.remove(&caller_conn)
     }
 
+    /// Closes the caller connections with the largest buffers, as far as all of them together are beyond their limits.
+    pub(super) fn enforce_buffer_limits(&mut self) {
+        let partial_lines = self.caller_conns.iter().map(|(id, conn)| (*id, conn.partial_line_bytes()));
+        for (caller_conn, bytes) in largest_beyond(partial_lines, self.max_buffer_bytes) {
+            tracing::warn!(
+                caller_conn,
+                bytes,
+                "closing a connection with an incomplete line: too many of them"
+            );
+            self.inputs.push_back(Input::CallerStreamCorrupt { caller_conn });
+        }
+        let unread = self.caller_conns.iter().map(|(id, conn)| (Some(*id), conn.unsent_bytes()));
+        let closing = self.closing.iter().map(|(_, conn)| (None, conn.unsent_bytes()));
+        for (caller_conn, bytes) in largest_beyond(unread.chain(closing), self.max_buffer_bytes) {
+            tracing::warn!(caller_conn, bytes, "closing a connection that does not read: too much is unsent");
+            match caller_conn {
+                Some(caller_conn) => {
+                    self.remove_caller(caller_conn);
+                    self.inputs.push_back(Input::CallerDisconnected { caller_conn });
+                }
+                None => self.closing.retain(|(_, conn)| conn.unsent_bytes() < bytes),
+            }
+        }
+    }
+
     fn read_exchange(&mut self, exchange_conn: ExchangeConnId) {
         let Some(connection) = self.exchange_conns.get_mut(&exchange_conn) else { return };
         if connection.is_connecting() {
--- a/src/net/jsonl.rs
+++ b/src/net/jsonl.rs
@@ -378,6 +378,11 @@
         ControlFlow::Continue(())
     }
 
+    /// Memory that the incomplete line takes up, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Whether an incomplete line is buffered, or the rest of one that is too long is still awaited.
     pub fn has_partial_line(&self) -> bool {
         self.skipping || !self.buffer.is_empty()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,6 +27,7 @@
 use handover::{Handover, PredecessorConn};
 use operator::OperatorServer;
 
+pub mod buffer_limits;
 pub mod connection;
 pub mod dns;
 mod driver;
@@ -386,6 +387,7 @@
                     break;
                 }
             }
+            driver.enforce_buffer_limits();
             driver.handle_timeouts();
         }
     }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -7,14 +7,16 @@
 #[path = "common/program.rs"]
 mod program;
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
 use endpoints::{JsonLinesConn, launch_line, operator_request};
 use program::{Program, shared_setup};
+use swiftlb::net::buffer_limits::largest_beyond;
+use swiftlb::net::connection::Connection;
 use swiftlb::net::read_queue::{ReadAmount, ReadQueue};
 
 /// Time within which a call of the class should be answered, as the configuration says.
@@ -81,6 +83,37 @@
     assert!(slowest < TARGET_SETUP, "the slowest answer took {slowest:?}");
 }
 
+/// Guards against a queue of replies that grows by everything that was ever sent to a client which reads slowly, but reads.
+#[test]
+fn replies_do_not_add_up_towards_a_client_that_reads_slowly() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback port");
+    let mut reader = TcpStream::connect(listener.local_addr().expect("local address")).expect("connect");
+    let stream = listener.accept().expect("accept a connection").0;
+    stream.set_nonblocking(true).expect("set the non-blocking mode");
+    let mut connection = Connection::accepted(mio::net::TcpStream::from_std(stream), Duration::from_secs(1));
+    let message = [b'x'; 1_024];
+    // The queue never becomes empty: each time less is read than was queued, until it is full, and then as much.
+    let mut buffer = [0; 1_024];
+    let mut sent = 0;
+    while sent < 40_000 {
+        if connection.unsent_bytes() < 100 * 1_024 {
+            connection.queue(&message);
+            sent += 1;
+        } else {
+            reader.read_exact(&mut buffer).expect("bytes that were sent");
+            if sent % 2 == 0 {
+                connection.queue(&message);
+                sent += 1;
+            } else {
+                sent += 1;
+            }
+        }
+        connection.flush();
+        assert!(connection.unsent_bytes() <= 512 * 1_024, "{} bytes", connection.unsent_bytes());
+    }
+    let _ = reader.shutdown(Shutdown::Both);
+}
+
 /// Reads connections in turn, each of which has this amount at every turn; returns how often each was read.
 fn turns(queue: &mut ReadQueue, connections: &[(u64, ReadAmount)], turns: usize) -> Vec<usize> {
     let mut counts = vec![0; connections.len()];
@@ -140,6 +173,15 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against incomplete lines, or replies that nobody reads, that add up beyond the memory limit; the largest are given up.
+#[test]
+fn the_largest_buffers_are_given_up_until_the_rest_is_within_the_limit() {
+    let buffers = [(1, 300), (2, 15_000), (3, 16_000), (4, 0), (5, 300)];
+    assert_eq!(largest_beyond(buffers.into_iter(), 40_000), []);
+    assert_eq!(largest_beyond(buffers.into_iter(), 20_000), [(3, 16_000)]);
+    assert_eq!(largest_beyond(buffers.into_iter(), 600), [(3, 16_000), (2, 15_000)]);
+}
+
 /// Guards against lines of very many fields, each of which costs many times the time and memory of its bytes.
 #[test]
 fn a_line_of_very_many_fields_is_malformed_and_not_parsed() {
