Drop unread set-ups of a caller that has closed its connection

Cause: the end of a connection was noticed only when everything before it had been handled, although the poll reports it at once.

Change: the driver registers is_read_closed and drops set-ups that it reads after that; hang-ups still count.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -380,6 +380,13 @@
         true
     }
 
+    /// Registers that the remote end has closed a connection, or its sending side.
+    pub(super) fn mark_remote_closed(&mut self, token: Token) {
+        if let Some(connection) = self.connection(ConnId::from_token(token)) {
+            connection.mark_remote_closed();
+        }
+    }
+
     /// Handles an event of the poll.
     pub(super) fn handle_event(&mut self, token: Token) {
         if OperatorServer::owns(token) {
@@ -489,12 +496,14 @@
     fn read_caller(&mut self, caller_conn: CallerConnId) -> Option<ReadOutcome> {
         let connection = self.caller_conns.get_mut(&caller_conn)?;
         connection.flush();
-        let read_before = connection.read_bytes();
+        let (read_before, caller_has_left) = (connection.read_bytes(), connection.is_remote_closed());
         let inputs = &mut self.inputs;
         let mut lines = 0;
         let read = connection.read_lines(CALLER_READS, |line, received| {
             lines += 1;
             match line_input(caller_conn, &line, received) {
+                // Its caller has left before it was read, and would get no answer.
+                LineInput::Input(Input::SetUp { .. }) if caller_has_left => ControlFlow::Continue(()),
                 LineInput::Input(input) => {
                     inputs.push_back(input);
                     ControlFlow::Continue(())
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -369,6 +369,9 @@
                 run_reducer(&mut driver, &mut engine);
             }
             for event in events.iter().filter(|event| !OperatorServer::owns(event.token())) {
+                if event.is_read_closed() {
+                    driver.mark_remote_closed(event.token());
+                }
                 driver.handle_event(event.token());
                 run_reducer(&mut driver, &mut engine);
             }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -26,6 +26,10 @@
     format!("{number:016x}")
 }
 
+fn stop_line(call: &str) -> String {
+    format!(r#"{{"kind":"stop","uid":"{call}","meta":{{}},"reason":16}}"#)
+}
+
 /// Places a call and waits for its answer.
 fn set_up(caller: &mut JsonLinesConn, exchange: &mut JsonLinesConn, call: &str) {
     caller.send(&launch_line(call, 1, 3_000));
@@ -34,6 +38,32 @@
     caller.expect("running", call);
 }
 
+/// Guards against set-ups that are sent on after their client has closed its connection with much still unread (picture c); what
+/// it said about an established call counts all the same.
+#[test]
+fn set_ups_of_a_caller_that_has_left_are_not_sent_on_and_its_hang_ups_are() {
+    let (listener, directory, exchange, _resolver) = shared_setup("left");
+    let program = Program::start(&listener, &directory.0);
+    let address = listener.local_addr().expect("local address");
+    let mut exchange = exchange.accept();
+    let mut caller = JsonLinesConn::connect(address);
+    let established = call(1);
+    set_up(&mut caller, &mut exchange, &established);
+    // The program does not run while the client writes and leaves.
+    program.signal("-STOP");
+    let mut leaving = JsonLinesConn::connect(address);
+    for number in 100..130 {
+        leaving.send(&launch_line(&call(number), 1, 3_000));
+    }
+    leaving.send(&stop_line(&established));
+    drop(leaving);
+    program.signal("-CONT");
+    exchange.expect("stop", &established);
+    exchange.send(&format!(r#"{{"kind":"stopped","uid":"{established}","meta":{{}}}}"#));
+    exchange.assert_exchange_quiet();
+    set_up(&mut caller, &mut exchange, &call(2));
+}
+
 /// Sends this text again and again without reading, on new connections when they are closed, until the end of the flood.
 fn flood(address: SocketAddr, text: &str, is_over: &AtomicBool) {
     while !is_over.load(Ordering::Relaxed) {
