Count all texts of an open set-up towards the limit of their memory

Cause: MAX_OPEN_DESCRIPTION_BYTES counted descriptions; the number called and the class stay in memory as well and may take up a whole line of 16 KiB.

Change: they count; the limit is an eighth of memory_mb, 4 MiB at most.

Result: with 1,000 set-ups of 15,000-byte numbers that wait for the other process of a replacement, all were open before (test of tests/replacement_ids.rs, which fails without the change), now 279. Set-ups that the decision module has taken were not shown to pass the limit: it refuses most of them.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -266,10 +266,11 @@
         // A call may last long, so memory that only the set-up needed is freed.
         self.metrics.count_established(&std::mem::take(&mut call.class));
         call.called_number = None;
-        let setup_description = call.description.take();
+        call.description = None;
+        let text_bytes = call.text_bytes;
         let (attempt, elapsed_ms) = (call.attempt_count - 1, duration_to_ms(elapsed(sent_at, self.now)));
         let (caller_conn, call) = (call.caller_conn, call.uid);
-        self.uncount_open_setup(setup_description.as_ref());
+        self.uncount_open_setup(text_bytes);
         self.cancel_call_timers(id);
         effects.push(Effect::ToCaller {
             caller_conn,
--- a/src/engine/id_claims.rs
+++ b/src/engine/id_claims.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::recent_ids::RecentIds;
-use super::setups::AcceptedSetUp;
+use super::setups::{AcceptedSetUp, text_bytes};
 use super::sibling::Role;
 use super::timers::TimerKey;
 use super::{CallUid, CallerConnId, CallerMessage, Effect, Engine, Front, Phase, SiblingMessage, Timer};
@@ -226,7 +226,7 @@
 
     fn drop_claimed_setup(&mut self, call: CallUid) {
         if let Some(setup) = self.take_claimed_setup(call) {
-            self.uncount_open_setup(setup.setup.description.as_ref());
+            self.uncount_open_setup(text_bytes(&setup.setup));
             self.remember_turned_away(call);
         }
     }
@@ -234,7 +234,7 @@
     /// Turns a set-up away whose id belongs to the sibling, like one whose id is in use here.
     fn turn_claimed_setup_away(&mut self, call: CallUid, effects: &mut Vec<Effect>) {
         if let Some(setup) = self.take_claimed_setup(call) {
-            self.uncount_open_setup(setup.setup.description.as_ref());
+            self.uncount_open_setup(text_bytes(&setup.setup));
             self.abort_caller_conn(setup.caller_conn, FailureReason::DuplicateCallId, effects);
         }
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -124,6 +124,8 @@
     width: f64,
     called_number: Option<String>,
     description: Option<Arc<str>>,
+    /// Size of its texts when it arrived, in bytes.
+    text_bytes: usize,
     received_at: SystemTime,
     deadline: SystemTime,
     phase: Phase,
@@ -177,8 +179,9 @@
     max_descriptors: usize,
     /// Number of open set-ups, those without a final outcome.
     open_setups: usize,
-    /// Size of their descriptions, in bytes.
-    open_description_bytes: usize,
+    /// Size of their texts, in bytes.
+    open_text_bytes: usize,
+    max_open_text_bytes: usize,
     max_retry_after: Duration,
     caller_releases: CallerReleases,
     ended_calls: EndedCalls,
@@ -241,7 +244,8 @@
             max_caller_conns: 0,
             max_descriptors: 0,
             open_setups: 0,
-            open_description_bytes: 0,
+            open_text_bytes: 0,
+            max_open_text_bytes: 0,
             max_retry_after: Duration::ZERO,
             caller_releases: CallerReleases::default(),
             ended_calls: EndedCalls::default(),
@@ -487,6 +491,7 @@
         self.exchange_drain_grace = duration_from_ms(settings.drain_grace_ms);
         self.max_retry_after = duration_from_ms(settings.max_retry_after_ms);
         self.max_descriptors = config.max_sockets;
+        self.max_open_text_bytes = setups::max_open_text_bytes(config.memory_limit_bytes);
         let index = |field| settings.report_fields.iter().position(|known| *known == field);
         self.group_fields = (index(ReportField::FreeCircuits), index(ReportField::TotalCircuits));
         self.apply_limits();
@@ -637,7 +642,7 @@
         self.cancel_at_exchange(id, effects);
         let call = self.calls.remove(&id)?;
         if !matches!(call.phase, Phase::Established { .. }) {
-            self.uncount_open_setup(call.description.as_ref());
+            self.uncount_open_setup(call.text_bytes);
         }
         self.timers.cancel(call.overdue_timer);
         self.timers.cancel(call.attempt_timer);
--- a/src/engine/setups.rs
+++ b/src/engine/setups.rs
@@ -1,7 +1,5 @@
 //! Set-ups, from their arrival until the decision module decides on them.
 
-use std::sync::Arc;
-
 use super::{
     Call, CallUid, CallerConnId, CallerMessage, DECISION_GRACE, Effect, Engine, Event, Front, NewCall, Phase,
     SetUp, Timer, duration_to_ms, elapsed,
@@ -11,8 +9,10 @@
 /// Maximum number of open set-ups, those without a final outcome. Bounds the memory; any more would not get one in
 /// time.
 const MAX_OPEN_SETUPS: usize = 1_000;
-/// Maximum size of the descriptions of all open set-ups, in bytes.
-const MAX_OPEN_DESCRIPTION_BYTES: usize = 4 << 20;
+/// Share of the memory limit of the process that the texts of all open set-ups may use, and the most that they may use, in
+/// bytes.
+const OPEN_TEXT_SHARE: usize = 8;
+const MAX_OPEN_TEXT_BYTES: usize = 4 << 20;
 
 /// A valid set-up that is within the limits and counts as open.
 #[derive(Debug)]
@@ -46,7 +46,7 @@
             return self.fail_malformed(caller_conn, uid, effects);
         };
         self.conn_placed_setup(caller_conn, effects);
-        let bytes = setup.description.as_ref().map_or(0, |text| text.len());
+        let bytes = text_bytes(&setup);
         let limits = &self.classes[class];
         let deadline = setup.received + setup.remaining.unwrap_or(limits.max_wait);
         let fits = self.fits_before_exit(deadline, limits.target_setup);
@@ -54,7 +54,7 @@
             return self.refuse_on_arrival(caller_conn, uid, &setup.class, reason, effects);
         }
         self.open_setups += 1;
-        self.open_description_bytes += bytes;
+        self.open_text_bytes += bytes;
         let setup = AcceptedSetUp { caller_conn, uid, front, setup };
         if self.must_claim_id(front) {
             self.claim_id(setup, effects);
@@ -82,10 +82,11 @@
     pub(super) fn admit_setup(&mut self, accepted: AcceptedSetUp, effects: &mut Vec<Effect>) {
         // The classes may have changed while the set-up waited.
         let Some(class) = self.class_of(&accepted.setup) else {
-            self.uncount_open_setup(accepted.setup.description.as_ref());
+            self.uncount_open_setup(text_bytes(&accepted.setup));
             return self.fail_malformed(accepted.caller_conn, accepted.uid, effects);
         };
         let AcceptedSetUp { caller_conn, uid, front, setup } = accepted;
+        let text_bytes = text_bytes(&setup);
         let limits = &self.classes[class];
         let width = setup.width.unwrap_or(limits.width);
         // The caller's waiting time starts when the last byte of the set-up was received, not when it is handled.
@@ -119,6 +120,7 @@
                 width,
                 called_number: setup.called_number,
                 description: setup.description,
+                text_bytes,
                 received_at: setup.received,
                 deadline,
                 phase: Phase::Waiting,
@@ -136,25 +138,19 @@
     /// Refuses a set-up that was accepted and is not a call yet, because the process is about to be killed.
     pub(super) fn refuse_accepted_setup(&mut self, accepted: AcceptedSetUp, effects: &mut Vec<Effect>) {
         let AcceptedSetUp { caller_conn, uid, setup, .. } = accepted;
-        self.uncount_open_setup(setup.description.as_ref());
+        self.uncount_open_setup(text_bytes(&setup));
         self.refuse_on_arrival(caller_conn, uid, &setup.class, RefusalReason::Draining, effects);
     }
 
     /// Stops counting a set-up towards the limits of open set-ups.
-    pub(super) fn uncount_open_setup(&mut self, description: Option<&Arc<str>>) {
+    pub(super) fn uncount_open_setup(&mut self, bytes: usize) {
         self.open_setups = self.open_setups.saturating_sub(1);
-        self.open_description_bytes =
-            self.open_description_bytes.saturating_sub(description.map_or(0, |text| text.len()));
+        self.open_text_bytes = self.open_text_bytes.saturating_sub(bytes);
     }
 
     /// Why a set-up is refused before the decision module sees it, if it is; `fits` says whether the shutdown leaves it
     /// enough time.
-    fn refusal_on_arrival(
-        &self,
-        front: Front,
-        fits: bool,
-        description_bytes: usize,
-    ) -> Option<RefusalReason> {
+    fn refusal_on_arrival(&self, front: Front, fits: bool, text_bytes: usize) -> Option<RefusalReason> {
         // During an operator's drain, and while a successor serves after a request to stop, IAX2 set-ups are refused
         // one by one: endpoints send them directly, without a platform that stops sending after a failed health check.
         let draining = self.operator_drain_since.is_some() || self.stopping_for_successor;
@@ -162,7 +158,7 @@
             return Some(RefusalReason::Draining);
         }
         let too_many = self.open_setups >= MAX_OPEN_SETUPS
-            || self.open_description_bytes + description_bytes > MAX_OPEN_DESCRIPTION_BYTES;
+            || self.open_text_bytes + text_bytes > self.max_open_text_bytes;
         too_many.then_some(RefusalReason::TooManySetUps)
     }
 
@@ -183,6 +179,18 @@
     }
 }
 
+/// The bytes of a set-up whose number the caller chooses: its class, number and description.
+pub(super) fn text_bytes(setup: &SetUp) -> usize {
+    let number = setup.called_number.as_ref().map_or(0, String::len);
+    let description = setup.description.as_ref().map_or(0, |text| text.len());
+    setup.class.len() + number + description
+}
+
+/// The bytes that the texts of all open set-ups may use in a process with this memory limit.
+pub(super) fn max_open_text_bytes(memory_limit_bytes: usize) -> usize {
+    (memory_limit_bytes / OPEN_TEXT_SHARE).min(MAX_OPEN_TEXT_BYTES)
+}
+
 /// The number called in the form of the decision module: the value of hexadecimal digits, as the platform sends them,
 /// otherwise an FNV-1a hash of the text. Never 0, which means that no number was called.
 fn called_number_id(number: &str) -> u64 {
--- a/tests/replacement_ids.rs
+++ b/tests/replacement_ids.rs
@@ -219,3 +219,26 @@
     assert_eq!(old.setup_count(1), 1);
     assert!(take_sibling_messages(&mut old).is_empty());
 }
+
+/// Guards against the memory of set-ups with very long numbers that wait for the other process (picture a): only descriptions
+/// were counted.
+#[test]
+fn long_numbers_of_set_ups_that_wait_count_towards_the_limit_of_their_memory() {
+    const NUMBER_BYTES: usize = 15_000;
+    const MAX_OPEN_BYTES: usize = 4 << 20;
+    let (_old, mut new) = two_processes();
+    for call in 0..1_000 {
+        let mut setup = new.new_setup(2, 3_000);
+        setup.called_number = Some("7".repeat(NUMBER_BYTES));
+        new.handle(Input::SetUp { caller_conn: CALLER_CONN, call: call_uid(call), setup });
+    }
+    let open: Vec<u64> = (0..1_000).filter(|call| new.caller_messages(*call).is_empty()).collect();
+    assert!(open.len() * NUMBER_BYTES <= MAX_OPEN_BYTES, "{} set-ups are open", open.len());
+    // They are counted until they end, and no longer.
+    for call in open {
+        new.handle(Input::HangUp { caller_conn: CALLER_CONN, call: call_uid(call), cause: 16 });
+    }
+    new.handle(Input::SiblingDisconnected);
+    new.place_call(2_000, 1, 3_000);
+    assert_eq!(new.setup_count(2_000), 1);
+}
