Close the connection to an exchange when the list gives its address to another one

An exchange that moves under its name kept its connection to the old address.

Cause: connections belong to names, and apply_list compared neither the address of a known name nor the addresses of the listed with those of the removed.

Change: both close the connections at once; calls there are released on both sides, or go on at the new address.

--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -7,7 +7,7 @@
 //! arrives, a second connection is opened, which replaces the first once it is up. A second connection that is refused
 //! proves nothing, as an exchange accepts a limited number.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -113,8 +113,9 @@
         effects: &mut Vec<Effect>,
     ) {
         let mut listed = Vec::with_capacity(entries.len());
-        let mut started = Vec::new();
+        let (mut started, mut moved, mut addresses) = (Vec::new(), Vec::new(), HashSet::new());
         for entry in entries {
+            addresses.insert(entry.address);
             let id = self.exchange_id(&entry.name);
             let changed = self.entry_changed(id, &entry);
             listed.push(ListedExchange {
@@ -146,7 +147,10 @@
             if exchange.readiness != entry.readiness {
                 (exchange.readiness, exchange.readiness_changed_at) = (entry.readiness, now);
             }
-            (exchange.address, exchange.number) = (entry.address, entry.number);
+            if std::mem::replace(&mut exchange.address, entry.address) != entry.address {
+                moved.push(id);
+            }
+            exchange.number = entry.number;
             exchange.zone = entry.zone;
             if std::mem::replace(&mut exchange.started_at, entry.started_at) != entry.started_at {
                 started.push(id);
@@ -158,6 +162,10 @@
         for id in started {
             self.exchange_started(id, effects);
         }
+        // What listens at the earlier address is another process, if any does.
+        for id in moved {
+            self.close_exchange_conns(id, effects);
+        }
         let removed: Vec<ExchangeId> = self
             .exchanges
             .iter()
@@ -171,7 +179,12 @@
                 (exchange.readiness, exchange.readiness_changed_at) = (Readiness::Removed, self.now);
             }
             self.record_exchange(id);
-            self.set_timer(REMOVAL_GRACE, Timer::RemoveExchange(id));
+            if self.exchanges.get(&id).is_some_and(|exchange| addresses.contains(&exchange.address)) {
+                // Another exchange has its address by now. It is gone, and its connection may lead to the other one.
+                self.remove_exchange(id, effects);
+            } else {
+                self.set_timer(REMOVAL_GRACE, Timer::RemoveExchange(id));
+            }
         }
         let listed_ids: Vec<ExchangeId> = listed.iter().map(|l| l.id).collect();
         for id in listed_ids {
