Pass on ends and hang-ups of calls that neither process of a replacement knows

Cause: the successor kept an end for a caller of its own while all callers were connected to its predecessor; a hang-up that had been passed on was dropped if it was unknown there as well.

Change: SiblingMessage::Callers says whether callers are connected; releases go to the process that has them. A passed-on hang-up of an unknown call goes to all exchanges.

--- a/src/engine/caller_releases.rs
+++ b/src/engine/caller_releases.rs
@@ -125,7 +125,7 @@
     }
 
     /// Sends a release to a caller, on the connection of its set-up or another one of the caller's. Without any, the release
-    /// of a JSON-lines call goes to the successor, if one serves; every other release waits.
+    /// of a JSON-lines call goes to the sibling process, if that can pass it on; every other release waits.
     pub(super) fn send_release(
         &mut self,
         own_conn: CallerConnId,
@@ -177,7 +177,7 @@
     }
 
     fn queue_release(&mut self, release: CallerRelease, effects: &mut Vec<Effect>) {
-        if self.successor_serves() && release.front == Front::JsonLines {
+        if self.sibling_takes_releases() && release.front == Front::JsonLines {
             let cut = release.message == CallerMessage::Released { cut: true };
             return effects.push(Effect::ToSibling(SiblingMessage::Release { call: release.call, cut }));
         }
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -136,6 +136,11 @@
         /// When it began; `None` once it has ended.
         since: Option<SystemTime>,
     },
+    /// Whether callers are connected to the sender, who read releases. From version 2 on.
+    Callers {
+        /// Whether there are any.
+        connected: bool,
+    },
     /// A set-up has arrived under this id: may the sender use it? From version 2 on.
     Claim {
         /// The call.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -203,6 +203,10 @@
     sibling: Option<Role>,
     /// Version of the messages that the sibling process knows.
     sibling_version: u32,
+    /// Whether callers are connected to the sibling process.
+    sibling_has_callers: bool,
+    /// What the sibling process was told last about callers that are connected here.
+    told_sibling_of_callers: bool,
     /// Whether it accepts caller connections; a successor does so once it is ready.
     accepting_callers: bool,
     /// Whether it was asked to stop while a successor serves.
@@ -262,6 +266,8 @@
             operator_drain_since: None,
             sibling: None,
             sibling_version: 0,
+            sibling_has_callers: false,
+            told_sibling_of_callers: false,
             accepting_callers: true,
             stopping_for_successor: false,
             list_serial: config.list_serial,
@@ -319,6 +325,7 @@
         self.handle_input(input, effects);
         self.run_controller(effects);
         self.serve_when_ready(effects);
+        self.tell_sibling_of_callers(effects);
         self.exit_if_done(effects);
         self.flush_records(effects);
     }
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -259,7 +259,7 @@
     }
 
     /// Whether a connection is open on which a JSON-lines caller may read releases.
-    fn has_json_lines_callers(&self) -> bool {
+    pub(super) fn has_json_lines_callers(&self) -> bool {
         self.caller_conns.values().any(|conn| conn.front == Front::JsonLines && conn.placed_setup)
     }
 
--- a/src/engine/sibling.rs
+++ b/src/engine/sibling.rs
@@ -17,8 +17,8 @@
 /// Caller connections that a process may hold during a handover, however low the limit of descriptors is.
 const MIN_CALLER_CONNS: usize = 4;
 
-/// First version of the messages that has [`SiblingMessage::Drain`].
-const DRAIN_VERSION: u32 = 2;
+/// First version of the messages that has [`SiblingMessage::Drain`] and [`SiblingMessage::Callers`].
+const DRAIN_AND_CALLERS_VERSION: u32 = 2;
 
 /// The role of the sibling process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,10 +111,11 @@
                     self.stop_for_successor(effects);
                 }
             }
+            SiblingMessage::Callers { connected } => self.sibling_callers_changed(connected, effects),
             SiblingMessage::Claim { call } => self.handle_claim(call, effects),
             SiblingMessage::ClaimReply { call, granted } => self.handle_claim_reply(call, granted, effects),
             SiblingMessage::UsedIds { calls } => self.remember_used_ids(calls),
-            SiblingMessage::HangUp { call, cause } => self.hang_up(NO_CALLER_CONN, call, cause, effects),
+            SiblingMessage::HangUp { call, cause } => self.sibling_reported_hang_up(call, cause, effects),
             SiblingMessage::Ended { call, cut } => self.sibling_reported_end(call, cut, effects),
             SiblingMessage::Release { call, cut } => {
                 // The exchange may repeat the end of the call to this process.
@@ -168,12 +169,46 @@
 
     /// Tells the sibling process whether an operator's drain is in progress: the two are one softswitch.
     pub(super) fn tell_sibling_of_drain(&self, effects: &mut Vec<Effect>) {
-        if self.sibling.is_some() && self.sibling_version >= DRAIN_VERSION {
+        if self.sibling.is_some() && self.sibling_version >= DRAIN_AND_CALLERS_VERSION {
             let since = self.operator_drain_since;
             effects.push(Effect::ToSibling(SiblingMessage::Drain { since }));
         }
     }
 
+    /// Tells the sibling process whether callers are connected here, if that has changed.
+    pub(super) fn tell_sibling_of_callers(&mut self, effects: &mut Vec<Effect>) {
+        if self.sibling.is_none() || self.sibling_version < DRAIN_AND_CALLERS_VERSION {
+            return;
+        }
+        let connected = self.has_json_lines_callers();
+        if std::mem::replace(&mut self.told_sibling_of_callers, connected) != connected {
+            effects.push(Effect::ToSibling(SiblingMessage::Callers { connected }));
+        }
+    }
+
+    fn sibling_callers_changed(&mut self, connected: bool, effects: &mut Vec<Effect>) {
+        self.sibling_has_callers = connected;
+        if connected {
+            self.send_caller_releases(effects);
+        }
+    }
+
+    /// Whether the sibling process can pass on the release of a JSON-lines call, for which there is no connection here. The
+    /// successor can always: it outlives this process.
+    pub(super) fn sibling_takes_releases(&self) -> bool {
+        self.successor_serves() || (self.sibling == Some(Role::Predecessor) && self.sibling_has_callers)
+    }
+
+    /// Handles the hang-up of a call that the sibling process does not know. If this one does not either, the call was
+    /// established before both.
+    fn sibling_reported_hang_up(&mut self, call: CallUid, cause: u8, effects: &mut Vec<Effect>) {
+        if self.call_ids.contains_key(&call) {
+            self.hang_up(NO_CALLER_CONN, call, cause, effects);
+        } else if !self.ended_calls.was_used(&call) {
+            self.release_earlier_call(call, cause, effects);
+        }
+    }
+
     /// Handles the end of a call that an exchange reported to the sibling process, which does not know the call.
     fn sibling_reported_end(&mut self, uid: CallUid, cut: bool, effects: &mut Vec<Effect>) {
         let outcome = if cut { Outcome::Reset } else { Outcome::Completed };
@@ -190,6 +225,7 @@
     /// Handles the end of the sibling process: this process alone is the softswitch again.
     pub(super) fn sibling_disconnected(&mut self, effects: &mut Vec<Effect>) {
         let Some(role) = self.sibling.take() else { return };
+        (self.sibling_has_callers, self.told_sibling_of_callers) = (false, false);
         self.apply_limits();
         self.end_claims(effects);
         effects.push(Effect::Log(format!("the other process is gone ({role:?})")));
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -79,6 +79,9 @@
             vec![("serial", f64::from(*serial).into()), ("version", f64::from(*version).into())],
         ),
         SiblingMessage::Drain { since } => json_line("drain", vec![("since", nanos(*since))]),
+        SiblingMessage::Callers { connected } => {
+            json_line("callers", vec![("connected", (*connected).into())])
+        }
         SiblingMessage::Claim { call: uid } => json_line("claim", vec![call(uid)]),
         SiblingMessage::ClaimReply { call: uid, granted } => {
             json_line("claimed", vec![call(uid), ("granted", (*granted).into())])
@@ -161,6 +164,7 @@
             version: version()?,
         },
         "drain" => SiblingMessage::Drain { since: time("since")? },
+        "callers" => SiblingMessage::Callers { connected: flag("connected")? },
         "claim" => SiblingMessage::Claim { call: call()? },
         "claimed" => SiblingMessage::ClaimReply { call: call()?, granted: flag("granted")? },
         "used" => SiblingMessage::UsedIds { calls: parse_ids(&text("calls")?)? },
--- a/tests/common/sibling_harness.rs
+++ b/tests/common/sibling_harness.rs
@@ -79,3 +79,29 @@
     new.handle(Input::CallerConnected { caller_conn: CALLER_CONN, front: Front::JsonLines });
     new
 }
+
+/// Delivers messages between the two until there are none; other effects stay. Returns the number of messages.
+pub fn deliver_until_quiet(one: &mut EngineHarness, other: &mut EngineHarness) -> usize {
+    let mut count = 0;
+    loop {
+        let (from_one, from_other) = (remove_sibling_messages(one), remove_sibling_messages(other));
+        if from_one.is_empty() && from_other.is_empty() {
+            return count;
+        }
+        count += from_one.len() + from_other.len();
+        assert!(count < 10_000, "messages without end");
+        from_one.into_iter().for_each(|message| other.handle(Input::SiblingMessage(message)));
+        from_other.into_iter().for_each(|message| one.handle(Input::SiblingMessage(message)));
+    }
+}
+
+fn remove_sibling_messages(harness: &mut EngineHarness) -> Vec<SiblingMessage> {
+    let (messages, others): (Vec<Effect>, Vec<Effect>) =
+        harness.effects.drain(..).partition(|effect| matches!(effect, Effect::ToSibling(_)));
+    harness.effects = others;
+    let messages = messages.into_iter().filter_map(|effect| match effect {
+        Effect::ToSibling(message) => Some(message),
+        _ => None,
+    });
+    messages.collect()
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -373,6 +373,7 @@
                 SiblingMessage::HandoverComplete { serial: number, version: number },
                 SiblingMessage::Drain { since: Some(UNIX_EPOCH + Duration::from_nanos(u64::from(number))) },
                 SiblingMessage::Drain { since: None },
+                SiblingMessage::Callers { connected: flag },
                 SiblingMessage::Claim { call },
                 SiblingMessage::ClaimReply { call, granted: flag },
                 SiblingMessage::UsedIds { calls: vec![call; number as usize % 500] },
--- a/tests/replacement_ids.rs
+++ b/tests/replacement_ids.rs
@@ -6,7 +6,7 @@
 mod sibling_harness;
 
 use engine_harness::{CALLER_CONN, EngineHarness, call_uid};
-use sibling_harness::{deliver, serving_successor, take_sibling_messages};
+use sibling_harness::{deliver, deliver_until_quiet, serving_successor, take_sibling_messages};
 use swiftlb::engine::{CallerMessage, Effect, Input, SiblingMessage};
 use swiftlb::interface::{Outcome, Reason};
 
@@ -28,29 +28,6 @@
     new
 }
 
-/// Delivers messages between the two until there are none; other effects stay.
-fn exchange_messages(one: &mut EngineHarness, other: &mut EngineHarness) {
-    loop {
-        let (from_one, from_other) = (remove_sibling_messages(one), remove_sibling_messages(other));
-        if from_one.is_empty() && from_other.is_empty() {
-            return;
-        }
-        from_one.into_iter().for_each(|message| other.handle(Input::SiblingMessage(message)));
-        from_other.into_iter().for_each(|message| one.handle(Input::SiblingMessage(message)));
-    }
-}
-
-fn remove_sibling_messages(harness: &mut EngineHarness) -> Vec<SiblingMessage> {
-    let (messages, others): (Vec<Effect>, Vec<Effect>) =
-        harness.effects.drain(..).partition(|effect| matches!(effect, Effect::ToSibling(_)));
-    harness.effects = others;
-    let messages = messages.into_iter().filter_map(|effect| match effect {
-        Effect::ToSibling(message) => Some(message),
-        _ => None,
-    });
-    messages.collect()
-}
-
 fn closes_its_caller(harness: &EngineHarness) -> bool {
     harness.effects.contains(&Effect::CloseCallerConn { caller_conn: CALLER_CONN })
 }
@@ -63,10 +40,10 @@
         let (mut old, mut new) = two_processes();
         let (owner, other) = if old_first { (&mut old, &mut new) } else { (&mut new, &mut old) };
         owner.place_call(1, 1, 3_000);
-        exchange_messages(owner, other);
+        deliver_until_quiet(owner, other);
         assert_eq!(owner.setup_count(1), 1);
         other.place_call(1, 2, 3_000);
-        exchange_messages(owner, other);
+        deliver_until_quiet(owner, other);
         assert!(closes_its_caller(other) && other.caller_messages(1).is_empty());
         owner.advance(200);
         other.advance(200);
@@ -83,7 +60,7 @@
     old.place_call(1, 1, 3_000);
     let mut new = with_successor(&mut old);
     new.place_call(1, 2, 3_000);
-    exchange_messages(&mut old, &mut new);
+    deliver_until_quiet(&mut old, &mut new);
     new.advance(200);
     assert!(closes_its_caller(&new) && new.setup_count(1) == 0);
 }
@@ -94,7 +71,7 @@
     let (mut old, mut new) = two_processes();
     old.place_call(1, 1, 3_000);
     new.place_call(1, 2, 3_000);
-    exchange_messages(&mut old, &mut new);
+    deliver_until_quiet(&mut old, &mut new);
     old.advance(200);
     new.advance(200);
     assert_eq!((old.setup_count(1), new.setup_count(1)), (1, 0));
@@ -122,7 +99,7 @@
                 front: swiftlb::engine::Front::JsonLines,
             });
             new.place_call(call, 2, 3_000);
-            exchange_messages(&mut old, &mut new);
+            deliver_until_quiet(&mut old, &mut new);
             new.advance(200);
             assert!(closes_its_caller(&new) && new.setup_count(call) == 0, "call {call}");
         }
@@ -152,8 +129,9 @@
         new.place_call(1_000 + call, 60, 3_000);
         new.advance(1);
     }
-    let claims = take_sibling_messages(&mut new);
-    assert!(claims.len() <= 1_000, "{}", claims.len());
+    let messages = take_sibling_messages(&mut new);
+    let claims = messages.iter().filter(|message| matches!(message, SiblingMessage::Claim { .. })).count();
+    assert!(claims <= 1_000, "{claims}");
     new.place_call(1, 1, 3_000);
     assert_eq!(new.setup_count(1), 1);
 }
@@ -175,7 +153,7 @@
     new.handle(Input::HangUp { caller_conn: CALLER_CONN, call: call_uid(1), cause: 16 });
     new.place_call(2, 1, 3_000);
     new.handle(Input::CallerDisconnected { caller_conn: CALLER_CONN });
-    exchange_messages(&mut new, &mut old);
+    deliver_until_quiet(&mut new, &mut old);
     new.advance(200);
     assert_eq!((new.setup_count(1), new.setup_count(2)), (0, 0));
 }
@@ -203,7 +181,7 @@
     assert!(!old.effects.contains(&Effect::CloseCallerConnIfIdle { caller_conn: CALLER_CONN }));
     assert!(!old.engine.may_exit());
     old.place_call(1, 1, 3_000);
-    exchange_messages(&mut new, &mut old);
+    deliver_until_quiet(&mut new, &mut old);
     assert!(closes_its_caller(&old), "an id that waits is in use");
     assert_eq!(old.caller_messages(1), [CallerMessage::Failed { busy: false }]);
 }
