Move the state of exchanges out of the circle of imports around it

Need: exchanges.rs imported types of releases.rs and restarts.rs, which imported Exchange and ConnState from it.

No behaviour changes.

--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use super::exchanges::{ConnState, SETUP_SILENCE_LIMIT};
+use super::exchange_state::ConnState;
+use super::exchanges::SETUP_SILENCE_LIMIT;
 use super::{
     CallId, CallUid, CallerMessage, Effect, Engine, Event, ExchangeConnId, ExchangeId, ExchangeMessage,
     Front, NO_CALLER_CONN, Outcome, Phase, Readiness, Reason, SiblingMessage, Timer, TimerKey,
--- a/src/engine/exchanges.rs
+++ b/src/engine/exchanges.rs
@@ -8,22 +8,20 @@
 //! proves nothing, as an exchange accepts a limited number.
 
 use std::collections::{HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use super::releases::{Release, UnconfirmedRelease};
-use super::restarts::SuspectCalls;
+use super::exchange_state::{
+    CAUSE_NORMAL_CLEARING, ConnState, Exchange, ExchangeConn, Release, SuspectCalls,
+};
 use super::{
     Call, CallId, Effect, Engine, Event, ExchangeConnId, ExchangeId, ListEntry, ListUpdateKind,
-    ListedExchange, Number, Outcome, Phase, RECONNECT_DELAY, REMOVAL_GRACE, REMOVED_EXCHANGE_RETENTION,
-    Readiness, Reason, Timer, elapsed, unix_ms,
+    ListedExchange, Outcome, Phase, RECONNECT_DELAY, REMOVAL_GRACE, REMOVED_EXCHANGE_RETENTION, Readiness,
+    Reason, Timer, elapsed, unix_ms,
 };
 use crate::interface::LoadReport;
 use swiftlb_record::{ConnectionChange, ReleasedBy};
 
-/// Q.850 cause "normal call clearing".
-pub(super) const CAUSE_NORMAL_CLEARING: u8 = 16;
 /// Interval between two checks of the connection to an exchange.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// A connection on which nothing was received for this long since a set-up was sent on it counts as dead, however
@@ -42,56 +40,6 @@
 /// After a connection that lasted less than this, the next one is opened only after `RECONNECT_DELAY`.
 const MIN_CONN_LIFETIME: Duration = Duration::from_millis(200);
 
-/// State of the connection to an exchange that set-ups are sent on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ConnState {
-    /// There is no connection.
-    Down,
-    /// It is being opened.
-    Connecting(ExchangeConnId),
-    /// It is open.
-    Up(ExchangeConnId),
-}
-
-/// A connection to an exchange.
-#[derive(Debug)]
-pub(super) struct ExchangeConn {
-    pub(super) exchange: ExchangeId,
-    opened_at: SystemTime,
-    pub(super) last_received: SystemTime,
-    /// Releases that were sent on it and may be lost with it, oldest first.
-    pub(super) unconfirmed_releases: VecDeque<UnconfirmedRelease>,
-    /// Whether established calls belong to it and end with it, so that it cannot be replaced.
-    pub(super) carries_calls: bool,
-}
-
-/// An exchange of the list, or one that was removed from it a short time ago.
-#[derive(Debug)]
-pub(super) struct Exchange {
-    pub(super) name: Arc<str>,
-    pub(super) address: SocketAddr,
-    pub(super) number: Number,
-    pub(super) zone: u16,
-    pub(super) started_at: Option<SystemTime>,
-    pub(super) readiness: Readiness,
-    pub(super) readiness_changed_at: SystemTime,
-    pub(super) conn: ConnState,
-    /// A second connection that is being opened to replace `conn`.
-    replacement: Option<ExchangeConnId>,
-    /// Since when every attempt to connect has failed; `None` once a connection opens or a message arrives.
-    unreachable_since: Option<SystemTime>,
-    /// Releases to be sent on the next connection.
-    pub(super) pending_releases: Vec<Release>,
-    reconnect_scheduled: bool,
-    check_scheduled: bool,
-    /// Its established calls that may have ended without a report.
-    pub(super) suspect_calls: Option<SuspectCalls>,
-    /// Whether it has reported the state of its group unasked.
-    reports_group: bool,
-    /// Free circuits and size of its group, as last reported.
-    pub(super) group: Option<(u32, u32)>,
-}
-
 impl Engine {
     /// The id of an exchange for the decision module. Every name gets its own, because another exchange may reuse the
     /// address later.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod caller_releases;
 mod callers;
 mod ended_calls;
+mod exchange_state;
 mod exchanges;
 mod hang_ups;
 mod id_claims;
@@ -47,7 +48,7 @@
 use caller_releases::CallerReleases;
 use callers::CallerConn;
 use ended_calls::EndedCalls;
-use exchanges::{ConnState, Exchange, ExchangeConn};
+use exchange_state::{ConnState, Exchange, ExchangeConn};
 use id_claims::IdClaims;
 pub use messages::{
     CallUid, CallerConnId, CallerMessage, Effect, ExchangeConnId, ExchangeMessage, Front, HandoverState,
--- a/src/engine/releases.rs
+++ b/src/engine/releases.rs
@@ -3,9 +3,11 @@
 //! A release that was written to a connection may be lost with it. So each is kept until the exchange confirms it, or for
 //! `RESEND_TIME`, and sent again on the next connection. A release of a call that does not stand there has no effect.
 
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
-use super::exchanges::{CAUSE_NORMAL_CLEARING, ConnState, Exchange, ExchangeConn};
+use super::exchange_state::{
+    CAUSE_NORMAL_CLEARING, ConnState, Exchange, ExchangeConn, Release, UnconfirmedRelease,
+};
 use super::{
     CallId, CallUid, Effect, Engine, ExchangeConnId, ExchangeId, ExchangeMessage, Readiness, elapsed,
 };
@@ -17,32 +19,6 @@
 /// have ended by then.
 const EARLIER_CALLS_TIME: Duration = Duration::from_secs(300);
 
-/// A release of a call towards an exchange.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Release {
-    call: CallUid,
-    /// Q.850 cause.
-    cause: u8,
-    /// Whether the call is known to be at the exchange, or to have been sent there. Otherwise it may be at any exchange,
-    /// and no reply is expected.
-    is_known_there: bool,
-    created_at: SystemTime,
-}
-
-impl Release {
-    /// The release of a call that is at the exchange, or was sent there.
-    pub(super) fn known(call: CallUid, cause: u8, now: SystemTime) -> Self {
-        Self { call, cause, is_known_there: true, created_at: now }
-    }
-}
-
-/// A release that was sent on a connection to an exchange and is not confirmed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct UnconfirmedRelease {
-    sent_at: SystemTime,
-    release: Release,
-}
-
 impl Engine {
     /// Sends the release of an established call to its exchange, or queues it and opens a connection if there is none.
     pub(super) fn release_at_exchange(
@@ -177,10 +153,3 @@
         }
     }
 }
-
-impl ExchangeConn {
-    /// When the oldest release was sent on this connection that the exchange should have confirmed.
-    pub(super) fn awaits_confirmation_since(&self) -> Option<SystemTime> {
-        self.unconfirmed_releases.iter().find(|sent| sent.release.is_known_there).map(|sent| sent.sent_at)
-    }
-}
--- a/src/engine/restarts.rs
+++ b/src/engine/restarts.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use super::exchanges::ConnState;
+use super::exchange_state::{ConnState, SuspectCalls};
 use super::{Call, Effect, Engine, ExchangeConnId, ExchangeId, Outcome, Phase, elapsed};
 use swiftlb_record::ReleasedBy;
 
@@ -18,22 +18,6 @@
 /// of some calls may be lost while the others stand.
 const MIN_SHARE_IN_USE: f64 = 0.5;
 
-/// The established calls of an exchange that may have ended, since an attempt to connect to it has failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct SuspectCalls {
-    /// Calls established before this time may have ended with an earlier process.
-    established_before: SystemTime,
-    /// Since when the reported state of the group has shown that some of them have ended.
-    mismatch_since: Option<SystemTime>,
-}
-
-impl SuspectCalls {
-    /// The calls that are established at this time: another process may answer the next attempt to connect.
-    pub(super) fn established_until(now: SystemTime) -> Self {
-        Self { established_before: now, mismatch_since: None }
-    }
-}
-
 impl Engine {
     /// Handles the start time of an exchange that the list has changed. A connection on which nothing has arrived since then
     /// belongs to the earlier process.
--- a/src/engine/shutdown.rs
+++ b/src/engine/shutdown.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Call, CallId, CallerConnId, CallerMessage, Effect, Engine, ExchangeId, Front, Outcome, Phase, Readiness,
-    Timer, callers::CallerConn, elapsed, exchanges::CAUSE_NORMAL_CLEARING,
+    Timer, callers::CallerConn, elapsed, exchange_state::CAUSE_NORMAL_CLEARING,
 };
 
 /// Shortest time from the request to stop to the end of the process: after the request, set-ups arrive for 0.4 s on new
