Play bad clients in the seeded trials

Change: tests/common/trial/strangers.rs has seven kinds of bad clients, drawn for two of three seeds from numbers of their own, so that the rest of each plan stays as it was. Their set-ups get an error from exchanges. Not covered: a replacement of the process, an address that changes its owner.

--- a/tests/common/trial/checker.rs
+++ b/tests/common/trial/checker.rs
@@ -106,6 +106,8 @@
     processes: HashMap<Node, Vec<Process>>,
     caller_conns: HashMap<ConnId, (Node, Span)>,
     withdrawn: HashMap<Node, Instant>,
+    /// Set-ups of bad clients that have left.
+    strangers_left: HashMap<CallId, (Node, Instant)>,
     resolver_silent: Vec<Span>,
     exchange_silent: HashMap<Node, Vec<Span>>,
     violations: Vec<Violation>,
@@ -122,6 +124,7 @@
         processes: HashMap::new(),
         caller_conns: HashMap::new(),
         withdrawn: HashMap::new(),
+        strangers_left: HashMap::new(),
         resolver_silent: Vec::new(),
         exchange_silent: HashMap::new(),
         violations: Vec::new(),
@@ -183,6 +186,9 @@
                 self.setups.insert(*call, setup);
             }
             Observation::GivenUp { call } => self.excuse(*call),
+            Observation::StrangerLeft { softswitch, call } => {
+                self.strangers_left.insert(*call, (*softswitch, at));
+            }
             // What SIGKILL found unanswered at the end of a shutdown, or what was read, did not cross a close.
             Observation::Crossed { call } => {
                 if !self.was_killed_after_stop(*call) && !self.was_attempted(*call) {
@@ -223,6 +229,7 @@
                     setup.attempts.push(Attempt { at, exchange, conn, ended: None });
                 }
                 self.check_withdrawn(at, *exchange, *call);
+                self.check_stranger_left(at, *exchange, *call);
             }
             Observation::Answered { exchange, call, description } => {
                 self.end_attempts(at, *call, *exchange);
@@ -453,6 +460,23 @@
         served && conns.any(|(_, (opened, closed))| *opened <= ended && closed.is_none_or(|at| at > until))
     }
 
+    /// A set-up whose client has left is not sent to an exchange, and its id does not run again in the same process; the next
+    /// one starts from nothing.
+    fn check_stranger_left(&mut self, at: Instant, exchange: Node, call: CallId) {
+        let Some((softswitch, left)) = self.strangers_left.get(&call).copied() else { return };
+        let processes = self.processes.get(&softswitch);
+        let restarted =
+            processes.is_some_and(|processes| processes.iter().any(|process| process.started > left));
+        if restarted || left + SLACK >= at {
+            return;
+        }
+        let (left, at) = (self.seconds(left), self.seconds(at));
+        self.violation(
+            Rule::Duplicate,
+            format!("set-up {call:x} went to exchange {exchange} at {at}, its client left at {left}"),
+        );
+    }
+
     fn check_withdrawn(&mut self, at: Instant, exchange: Node, call: CallId) {
         let Some(withdrawn) = self.withdrawn.get(&exchange).copied() else { return };
         let told = withdrawn + TOLD_LIMIT;
--- a/tests/common/trial/exchange.rs
+++ b/tests/common/trial/exchange.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::line_peer::{Line, LinePeer};
+use super::strangers::is_strangers_call;
 use super::{CallId, ConnId, Journal, Node, Observation, TICK};
 use crate::rng::SplitMix64;
 
@@ -16,6 +17,8 @@
 pub static NEXT_CONN: AtomicU64 = AtomicU64::new(1);
 /// Share of the open set-ups that have run when their connection is reset, in percent.
 const RAN_BEFORE_RESET_PERCENT: u64 = 50;
+/// Cause with which an exchange answers what it cannot use.
+const ERROR: u32 = 47;
 /// How long a release is repeated on connections that open after it was sent.
 const REPEAT_RELEASES: Duration = Duration::from_secs(12);
 
@@ -67,6 +70,7 @@
     Answer,
     AnswerAgain,
     Busy,
+    Error,
     EndCall,
 }
 
@@ -273,7 +277,14 @@
                 self.open.insert(call, conn);
                 let delay = self.draw(&behaviour.setup_ms);
                 let busy = self.random.below(100) < behaviour.busy_percent;
-                self.after(delay, call, conn, if busy { Step::Busy } else { Step::Answer });
+                let step = if is_strangers_call(call) {
+                    Step::Error
+                } else if busy {
+                    Step::Busy
+                } else {
+                    Step::Answer
+                };
+                self.after(delay, call, conn, step);
                 self.send(conn, USAGE);
             }
             "stop" => {
@@ -306,6 +317,11 @@
                 self.journal.note(Observation::Ended { exchange: self.node, call, cause: 17 });
                 self.send(conn, &busy_line(call));
             }
+            Step::Error if is_open => {
+                self.open.remove(&call);
+                self.journal.note(Observation::Ended { exchange: self.node, call, cause: ERROR });
+                self.send(conn, &release_line(call, ERROR));
+            }
             Step::Answer if is_open => self.answer(call, conn, behaviour),
             Step::AnswerAgain if self.standing.contains_key(&call) => {
                 self.send(conn, &answer_line(call, &description(self.node, call)));
--- a/tests/common/trial/mod.rs
+++ b/tests/common/trial/mod.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod resolver;
 pub mod run;
+pub mod strangers;
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -53,6 +54,8 @@
     Crossed { call: CallId },
     /// A caller has given a set-up up, or closed its connection.
     GivenUp { call: CallId },
+    /// A bad client has left after it wrote a set-up.
+    StrangerLeft { softswitch: Node, call: CallId },
     /// A caller has released a call that stood.
     HungUp { call: CallId },
     /// A caller has received a final message about a call.
--- a/tests/common/trial/plan.rs
+++ b/tests/common/trial/plan.rs
@@ -6,6 +6,7 @@
 use super::Node;
 use super::caller::Habits;
 use super::exchange::Behaviour;
+use super::strangers::{KINDS, Kind};
 use crate::rng::SplitMix64;
 
 /// Longest deadlines of a deployment, in ms.
@@ -48,8 +49,13 @@
     /// Faults with their times, in order.
     pub faults: Vec<(Duration, Fault)>,
     pub duration: Duration,
+    /// Bad clients, with the softswitch that they go to.
+    pub strangers: Vec<(Node, Kind)>,
 }
 
+/// Separates the numbers for bad clients from the others, so that the rest of a plan does not depend on them.
+const STRANGER_SEED: u64 = 0x5747_2a6e_6765_7273;
+
 struct Draw(SplitMix64);
 
 impl Draw {
@@ -74,7 +80,14 @@
         let habits = Self::habits(&mut draw, exchanges, deadlines_ms);
         let behaviour = Self::behaviour(&mut draw, longest.into());
         let faults = Self::faults(&mut draw, softswitches, exchanges, duration.as_millis() as u64);
-        Self { seed, softswitches, exchanges, deadlines_ms, habits, behaviour, faults, duration }
+        let strangers = Self::strangers(&mut Draw(SplitMix64(seed ^ STRANGER_SEED)), softswitches);
+        Self { seed, softswitches, exchanges, deadlines_ms, habits, behaviour, faults, duration, strangers }
+    }
+
+    /// Two of three trials have bad clients.
+    fn strangers(draw: &mut Draw, softswitches: usize) -> Vec<(Node, Kind)> {
+        let count = draw.within(0..3);
+        (0..count).map(|_| (draw.within(0..softswitches as u64) as usize, draw.one_of(&KINDS))).collect()
     }
 
     fn habits(draw: &mut Draw, exchanges: usize, deadlines_ms: [u32; 2]) -> Habits {
@@ -151,13 +164,15 @@
         let faults: Vec<String> =
             self.faults.iter().map(|(at, fault)| format!("{} {fault:?}", at.as_millis())).collect();
         format!(
-            "seed {}: {} softswitches, {} exchanges, deadlines {:?}, set-ups every {:?}, set-up time {:?}: {}",
+            "seed {}: {} softswitches, {} exchanges, deadlines {:?}, set-ups every {:?}, set-up time {:?}, \
+             bad clients {:?}: {}",
             self.seed,
             self.softswitches,
             self.exchanges,
             self.deadlines_ms,
             self.habits.interval,
             self.behaviour.setup_ms,
+            self.strangers,
             faults.join(", ")
         )
     }
--- a/tests/common/trial/process.rs
+++ b/tests/common/trial/process.rs
@@ -18,9 +18,9 @@
 /// Time from SIGTERM to SIGKILL, beyond the longest deadline.
 const KILL_DELAY: Duration = Duration::from_millis(700);
 
-/// Limits of a process, as its configuration gives them.
-const MAX_RESIDENT_KB: usize = 192 * 1_024;
-const MAX_DESCRIPTORS: usize = 1_024;
+/// Limits of a process, as its configuration gives them: those of the days of less room.
+pub const MEMORY_MB: usize = 16;
+pub const DESCRIPTORS: usize = 256;
 
 /// A loopback address that nothing else uses: its IP address is made from the process id and a counter, and outgoing
 /// connections have other source addresses.
@@ -183,7 +183,7 @@
         let resident_kb: usize =
             resident.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or_default();
         let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
-        if resident_kb > MAX_RESIDENT_KB || descriptors > MAX_DESCRIPTORS {
+        if resident_kb > MEMORY_MB * 1_024 || descriptors > DESCRIPTORS {
             let detail = format!("{resident_kb} kB resident, {descriptors} descriptors");
             journal.note(Observation::Limits { softswitch: self.node, detail });
         }
--- a/tests/common/trial/run.rs
+++ b/tests/common/trial/run.rs
@@ -7,8 +7,9 @@
 use super::checker::{Violation, check};
 use super::exchange::{Behaviour, Exchange, Mode};
 use super::plan::{Fault, Plan};
-use super::process::{Softswitch, TrialDirectory, own_address};
+use super::process::{DESCRIPTORS, MEMORY_MB, Softswitch, TrialDirectory, own_address};
 use super::resolver::Resolver;
+use super::strangers::Strangers;
 use super::{Journal, Node, TICK};
 use crate::dns_answer::ListedTarget;
 use crate::engine_harness;
@@ -130,7 +131,10 @@
         };
         let (status, lookup) = config.split_once("\"semantics\":\"pure\"").expect("two classes");
         let lookup = lookup.replacen("\"semantics\":\"pure\"", "\"semantics\":\"side_effect\"", 1);
-        format!("{status}\"semantics\":\"pure\"{lookup}")
+        let config = format!("{status}\"semantics\":\"pure\"{lookup}");
+        let limits = "\"memory_mb\":192,\"sockets\":1024";
+        assert!(config.contains(limits), "{config}");
+        config.replace(limits, &format!("\"memory_mb\":{MEMORY_MB},\"sockets\":{DESCRIPTORS}"))
     }
 }
 
@@ -159,7 +163,9 @@
     let mut runner = Runner::start(plan, &directory, &journal);
     let start = Instant::now();
     runner.tasks = plan.faults.iter().map(|(at, fault)| (start + *at, Task::Play(fault.clone()))).collect();
+    let strangers: Vec<Strangers> = runner.start_strangers();
     runner.work_until(start + plan.duration);
+    drop(strangers);
     runner.callers.iter().for_each(|callers| callers.set_sending(false));
     runner.work_until(Instant::now() + plan.longest_deadline().max(SETTLE_TIME) + Duration::from_secs(1));
     let violations = check(&journal);
@@ -196,6 +202,14 @@
         }
     }
 
+    fn start_strangers(&self) -> Vec<Strangers> {
+        let start = |(index, (node, kind)): (usize, &(Node, _))| {
+            let address = self.softswitches[*node].address;
+            Strangers::start(*kind, *node, address, self.plan.seed ^ index as u64, &self.journal)
+        };
+        self.plan.strangers.iter().enumerate().map(start).collect()
+    }
+
     fn work_until(&mut self, end: Instant) {
         while Instant::now() < end {
             let now = Instant::now();
--- a/tests/common/trial/strangers.rs
+++ b/tests/common/trial/strangers.rs
@@ -8,11 +8,12 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use super::{CallId, Journal, Observation, TICK};
+use super::{CallId, Journal, Node, Observation, TICK};
 use crate::rng::SplitMix64;
 
-/// Ids of the calls of strangers; those of callers count up from 1.
-static NEXT_CALL: AtomicU64 = AtomicU64::new(0xbad0_0000_0000_0000);
+/// The first id of the calls of strangers; those of callers count up from 1.
+const FIRST_CALL: CallId = 0xbad0_0000_0000_0000;
+static NEXT_CALL: AtomicU64 = AtomicU64::new(FIRST_CALL);
 /// A number of an exchange that does not exist.
 const NO_EXCHANGE: u64 = 60;
 /// Requests that a flood sends in one tick.
@@ -56,6 +57,11 @@
     Kind::Leaving,
 ];
 
+/// Whether a call is a stranger's. Exchanges answer its set-up with an error: they cannot use it.
+pub fn is_strangers_call(call: CallId) -> bool {
+    call >= FIRST_CALL
+}
+
 /// Running bad clients; they end when this is dropped.
 pub struct Strangers {
     stopped: Arc<AtomicBool>,
@@ -64,9 +70,10 @@
 
 impl Strangers {
     /// Starts bad clients of this kind.
-    pub fn start(kind: Kind, address: SocketAddr, seed: u64, journal: &Journal) -> Self {
+    pub fn start(kind: Kind, softswitch: Node, address: SocketAddr, seed: u64, journal: &Journal) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
         let mut worker = Worker {
+            softswitch,
             address,
             conns: Vec::new(),
             next_connect: Instant::now(),
@@ -96,6 +103,7 @@
 }
 
 struct Worker {
+    softswitch: Node,
     address: SocketAddr,
     conns: Vec<TcpStream>,
     next_connect: Instant,
@@ -190,7 +198,7 @@
         }
         drop(stream);
         for call in calls {
-            self.journal.note(Observation::StrangerLeft { call });
+            self.journal.note(Observation::StrangerLeft { softswitch: self.softswitch, call });
         }
         if comes_again {
             let at = Instant::now() + Duration::from_millis(self.random.below(1_000));
