--- a/tests/common/trial/checker.rs
+++ b/tests/common/trial/checker.rs
@@ -1,6 +1,6 @@
 //! The checker: judges a trial by what callers, exchanges and the resolver saw, never by the softswitch's word.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -117,8 +117,8 @@
     withdrawn: HashMap<Node, Instant>,
     /// Set-ups of bad clients that have left.
     strangers_left: HashMap<CallId, Left>,
-    /// Calls of bad clients that have reached an exchange.
-    stranger_attempts: HashSet<CallId>,
+    /// When calls of bad clients first reached an exchange.
+    stranger_attempts: HashMap<CallId, Instant>,
     resolver_silent: Vec<Span>,
     exchange_silent: HashMap<Node, Vec<Span>>,
     violations: Vec<Violation>,
@@ -136,7 +136,7 @@
         caller_conns: HashMap::new(),
         withdrawn: HashMap::new(),
         strangers_left: HashMap::new(),
-        stranger_attempts: HashSet::new(),
+        stranger_attempts: HashMap::new(),
         resolver_silent: Vec::new(),
         exchange_silent: HashMap::new(),
         violations: Vec::new(),
@@ -476,11 +476,11 @@
     /// A set-up whose client has left is not sent to an exchange. One that comes again does not run a second time in the same
     /// process; the next process starts from nothing, and a silent exchange reads late.
     fn check_stranger_left(&mut self, at: Instant, exchange: Node, call: CallId) {
-        let Some(left) = self.strangers_left.get(&call).copied() else {
-            self.stranger_attempts.extend(is_strangers_call(call).then_some(call));
+        if !is_strangers_call(call) {
             return;
-        };
-        let ran_before = !self.stranger_attempts.insert(call);
+        }
+        let first_attempt = *self.stranger_attempts.entry(call).or_insert(at);
+        let Some(left) = self.strangers_left.get(&call).copied() else { return };
         let processes = self.processes.get(&left.softswitch);
         let restarted =
             processes.is_some_and(|processes| processes.iter().any(|process| process.started > left.at));
@@ -488,8 +488,9 @@
             .exchange_silent
             .get(&exchange)
             .is_some_and(|spans| spans.iter().any(|span| overlaps(span, left.at, at)));
-        let may_run = left.comes_again && !ran_before;
-        if restarted || silent || may_run || left.at + SLACK >= at {
+        // Its first copy was not read before its client left, so the second one is the first to run.
+        let runs_first = left.comes_again && first_attempt > left.at + SLACK;
+        if restarted || silent || runs_first || left.at + SLACK >= at {
             return;
         }
         let (left, at) = (self.seconds(left.at), self.seconds(at));
