Flood on three connections in the trials

Need: with one connection a process without the bound on ids stayed below the 16 MB of its trial. A line that was cut off closed the flood's connection. Change: three connections; one with a partial write is opened anew.

--- a/tests/common/trial/strangers.rs
+++ b/tests/common/trial/strangers.rs
@@ -16,7 +16,9 @@
 static NEXT_CALL: AtomicU64 = AtomicU64::new(FIRST_CALL);
 /// A number of an exchange that does not exist.
 const NO_EXCHANGE: u64 = 60;
-/// Requests that a flood sends in one tick.
+/// Connections of a flood.
+const FLOOD_CONNS: usize = 3;
+/// Requests that a flood sends on each of them in one tick.
 const FLOOD_PER_TICK: usize = 25;
 /// Connections of a crowd.
 const CROWD: usize = 150;
@@ -154,16 +156,18 @@
         if reads {
             self.read_all();
         }
-        if self.conns.is_empty()
-            && let Some(stream) = self.connect()
-        {
+        while self.conns.len() < FLOOD_CONNS {
+            let Some(stream) = self.connect() else { break };
             let _ = stream.set_nonblocking(true);
             self.conns.push(stream);
         }
-        let lines: Vec<u8> = (0..FLOOD_PER_TICK).flat_map(|_| line()).collect();
-        self.conns.retain_mut(|stream| match stream.write(&lines) {
-            Ok(_) => true,
-            Err(error) => error.kind() == ErrorKind::WouldBlock,
+        self.conns.retain_mut(|stream| {
+            let lines: Vec<u8> = (0..FLOOD_PER_TICK).flat_map(|_| line()).collect();
+            match stream.write(&lines) {
+                // The rest of a line that was cut off would spoil the next one.
+                Ok(length) => length == lines.len(),
+                Err(error) => error.kind() == ErrorKind::WouldBlock,
+            }
         });
     }
 
