Share the floods and the set-up of the tests on sockets

Need: two tests of tests/crowds.rs and one of tests/replacement.rs repeated each other's lines. Change: a fixture for floods, one for the slowest answer, and the set-up in tests/common/program.rs.

--- a/tests/common/program.rs
+++ b/tests/common/program.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use crate::endpoints::{ListeningExchange, operator_request};
+use crate::endpoints::{JsonLinesConn, ListeningExchange, launch_line, operator_request};
 use crate::engine_harness;
 
 /// A temporary directory that is removed at the end of the test.
@@ -129,3 +129,11 @@
     std::fs::write(directory.0.join("iax2.json"), iax2).expect("write the file");
     (listener, directory, exchange, resolver)
 }
+
+/// Places a call and waits for its answer.
+pub fn set_up(caller: &mut JsonLinesConn, exchange: &mut JsonLinesConn, call: &str) {
+    caller.send(&launch_line(call, 1, 3_000));
+    exchange.expect("launch", call);
+    exchange.send(&format!(r#"{{"kind":"running","uid":"{call}","meta":{{}},"body":""}}"#));
+    caller.expect("running", call);
+}
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -11,10 +11,11 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime};
 
 use endpoints::{JsonLinesConn, launch_line, operator_request};
-use program::{Program, shared_setup};
+use program::{Program, set_up, shared_setup};
 use swiftlb::net::buffer_limits::largest_beyond;
 use swiftlb::net::connection::Connection;
 use swiftlb::net::read_queue::{ReadAmount, ReadQueue};
@@ -30,14 +31,6 @@
     format!(r#"{{"kind":"stop","uid":"{call}","meta":{{}},"reason":16}}"#)
 }
 
-/// Places a call and waits for its answer.
-fn set_up(caller: &mut JsonLinesConn, exchange: &mut JsonLinesConn, call: &str) {
-    caller.send(&launch_line(call, 1, 3_000));
-    exchange.expect("launch", call);
-    exchange.send(&format!(r#"{{"kind":"running","uid":"{call}","meta":{{}},"body":""}}"#));
-    caller.expect("running", call);
-}
-
 /// Guards against set-ups that are sent on after their client has closed its connection with much still unread (picture c); what
 /// it said about an established call counts all the same.
 #[test]
@@ -64,32 +57,78 @@
     set_up(&mut caller, &mut exchange, &call(2));
 }
 
-/// Sends this text again and again without reading, on new connections when they are closed, until the end of the flood.
-fn flood(address: SocketAddr, text: &str, is_over: &AtomicBool) {
-    flood_with(address, |_| text.to_owned(), false, is_over);
+/// Clients that flood a softswitch, until this is dropped.
+struct Flood {
+    is_over: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    /// Starts clients that send the texts of `text` one after the other, which gets the number of the client and of the
+    /// text, on new connections when they are closed. `reads` says whether they read what is sent back.
+    fn start(
+        address: SocketAddr,
+        clients: u64,
+        reads: bool,
+        text: impl Fn(u64, u64) -> String + Clone + Send + 'static,
+    ) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let start_client = |client| {
+            let (text, is_over) = (text.clone(), is_over.clone());
+            std::thread::spawn(move || {
+                let mut count = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    send_until_closed(address, reads, &is_over, || {
+                        count += 1;
+                        text(client, count)
+                    });
+                }
+            })
+        };
+        let clients = (0..clients).map(start_client).collect();
+        Self { is_over, clients }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.clients.drain(..).for_each(|client| drop(client.join()));
+    }
 }
 
-/// The same with another text each time; `reads` says whether replies are read.
-fn flood_with(address: SocketAddr, text: impl Fn(u64) -> String, reads: bool, is_over: &AtomicBool) {
-    let mut round = 0;
+fn send_until_closed(
+    address: SocketAddr,
+    reads: bool,
+    is_over: &AtomicBool,
+    mut text: impl FnMut() -> String,
+) {
+    let Ok(mut stream) = TcpStream::connect(address) else { return };
+    let _ = stream.set_write_timeout(Some(Duration::from_millis(200)));
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
     let mut replies = [0; 64 * 1_024];
-    while !is_over.load(Ordering::Relaxed) {
-        let Ok(mut stream) = TcpStream::connect(address) else { continue };
-        let _ = stream.set_write_timeout(Some(Duration::from_millis(200)));
-        let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
-        let mut is_open = true;
-        while is_open && !is_over.load(Ordering::Relaxed) {
-            round += 1;
-            is_open = stream.write_all(text(round).as_bytes()).is_ok();
-            if reads && round % 8 == 0 {
-                is_open &= stream.read(&mut replies).map_or_else(|error| is_timeout(&error), |n| n > 0);
-            }
+    while !is_over.load(Ordering::Relaxed) && stream.write_all(text().as_bytes()).is_ok() {
+        let is_closed = reads && stream.read(&mut replies).is_ok_and(|length| length == 0);
+        if is_closed {
+            return;
         }
     }
 }
 
-fn is_timeout(error: &std::io::Error) -> bool {
-    matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+/// Repeats this work for a time; returns the longest time that it took.
+fn slowest(duration: Duration, mut work: impl FnMut(u64)) -> Duration {
+    let end = Instant::now() + duration;
+    let mut slowest = Duration::ZERO;
+    for round in 0.. {
+        let begin = Instant::now();
+        if begin >= end {
+            break;
+        }
+        work(round);
+        slowest = slowest.max(begin.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    slowest
 }
 
 /// Guards against callers that are answered late or never while others send small requests or lines of very many fields at
@@ -106,30 +145,13 @@
     let fields: Vec<String> = (0..1_700).map(|i| format!(r#""{i:x}":1"#)).collect();
     let many_fields = format!(r#"{{"kind":"launch","uid":"{}","meta":{{{}}}}}"#, call(7), fields.join(","));
     let texts = [format!("{check}\n").repeat(1_000), format!("{many_fields}\n").repeat(4)];
-    let is_over = Arc::new(AtomicBool::new(false));
-    let floods: Vec<_> = (0..60)
-        .map(|i| {
-            let (text, is_over) = (texts[i % 2].clone(), is_over.clone());
-            std::thread::spawn(move || flood(address, &text, &is_over))
-        })
-        .collect();
-    let end = Instant::now() + Duration::from_secs(3);
-    let mut slowest = Duration::ZERO;
-    for number in 1_000.. {
-        let begin = Instant::now();
-        if begin >= end {
-            break;
-        }
-        set_up(&mut caller, &mut exchange, &call(number));
-        slowest = slowest.max(begin.elapsed());
-        let asked = Instant::now();
+    let flood = Flood::start(address, 60, false, move |client, _| texts[client as usize % 2].clone());
+    let slowest = slowest(Duration::from_secs(3), |round| {
+        set_up(&mut caller, &mut exchange, &call(1_000 + round));
         assert_eq!(operator_request(program.operator_address, "GET /ops/stats").0, 200);
-        slowest = slowest.max(asked.elapsed());
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    is_over.store(true, Ordering::Relaxed);
-    floods.into_iter().for_each(|flood| flood.join().expect("a thread without a panic"));
-    assert!(slowest < TARGET_SETUP, "the slowest answer took {slowest:?}");
+    });
+    drop(flood);
+    assert!(slowest < TARGET_SETUP, "the slowest answers took {slowest:?}");
 }
 
 /// Guards against a client that sends set-ups without a pause during a drain, or a stop: each one that was refused made the
@@ -142,29 +164,16 @@
     let mut exchange = exchange.accept();
     let mut caller = JsonLinesConn::connect(address);
     set_up(&mut caller, &mut exchange, &call(1));
-    let is_over = Arc::new(AtomicBool::new(false));
-    let floods: Vec<_> = (0..4_u64)
-        .map(|flooder| {
-            let is_over = is_over.clone();
-            let setups = move |round: u64| -> String {
-                let numbers = (0..200).map(|i| (flooder << 48) + (round << 16) + 0x1_0000_0000 + i);
-                numbers.map(|number| launch_line(&call(number), 60, 3_000) + "\n").collect()
-            };
-            std::thread::spawn(move || flood_with(address, setups, true, &is_over))
-        })
-        .collect();
+    let flood = Flood::start(address, 4, true, |client, count| {
+        let first = (client << 48) + (count << 16) + 0x1_0000_0000;
+        (first..first + 200).map(|number| launch_line(&call(number), 60, 3_000) + "\n").collect()
+    });
     std::thread::sleep(Duration::from_millis(200));
     assert_eq!(operator_request(program.operator_address, "PUT /ops/drain/start").0, 200);
-    let end = Instant::now() + Duration::from_millis(1_500);
-    let mut slowest = Duration::ZERO;
-    while Instant::now() < end {
-        let asked = Instant::now();
+    let slowest = slowest(Duration::from_millis(1_500), |_| {
         assert_eq!(operator_request(program.operator_address, "GET /ops/stats").0, 200);
-        slowest = slowest.max(asked.elapsed());
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    is_over.store(true, Ordering::Relaxed);
-    floods.into_iter().for_each(|flood| flood.join().expect("a thread without a panic"));
+    });
+    drop(flood);
     assert!(slowest < TARGET_SETUP, "the slowest answer took {slowest:?}");
 }
 
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -14,9 +14,9 @@
 use std::os::unix::net::UnixListener;
 use std::time::Duration;
 
-use endpoints::{Iax2Endpoint, JsonLinesConn, launch_line, operator_request};
+use endpoints::{Iax2Endpoint, JsonLinesConn, operator_request};
 use engine_harness::{CALLER_CONN, EngineHarness, call_uid, config};
-use program::{Program, shared_setup};
+use program::{Program, set_up, shared_setup};
 use sibling_harness::{deliver, serving_successor, successor, take_sibling_messages};
 use swiftlb::Controller;
 use swiftlb::engine::{CallerMessage, Effect, ExchangeMessage, Front, Input, SiblingMessage};
@@ -222,13 +222,6 @@
 
 // ---- two programs ----
 
-fn set_up(caller: &mut JsonLinesConn, exchange: &mut JsonLinesConn, call: &str) {
-    caller.send(&launch_line(call, 1, 3_000));
-    exchange.expect("launch", call);
-    exchange.send(&format!(r#"{{"kind":"running","uid":"{call}","meta":{{}},"body":""}}"#));
-    caller.expect("running", call);
-}
-
 #[test]
 fn two_programs_serve_as_one_on_an_inherited_listener() {
     let (listener, directory, exchange, _resolver) = shared_setup("two");
