Send the used ids of calls in a fixed order

Cause: the ids of calls were taken in the order of a hash map, so the reducer's effects differed from run to run. Change: they are sorted.

--- a/src/engine/id_claims.rs
+++ b/src/engine/id_claims.rs
@@ -157,9 +157,10 @@
         if self.sibling_version < CLAIM_VERSION {
             return;
         }
-        let of_calls = self.calls.values().map(|call| call.uid);
+        let mut of_calls: Vec<CallUid> = self.call_ids.keys().copied().collect();
+        of_calls.sort_unstable();
         let ids: Vec<CallUid> =
-            of_calls.chain(self.ended_calls.newest_first()).take(MAX_SIBLING_IDS).collect();
+            of_calls.into_iter().chain(self.ended_calls.newest_first()).take(MAX_SIBLING_IDS).collect();
         for calls in ids.chunks(IDS_PER_MESSAGE) {
             effects.push(Effect::ToSibling(SiblingMessage::UsedIds { calls: calls.to_vec() }));
         }
