Count from the end of a hang when a stopped process learns that a client has left

Trace: the log ends at 02.186 and goes on at 02.369, with the exchange's error, the next attempt, and 0.3 ms later the end of the client's connection. The process could not know before. Change: the checker counts from SIGCONT then.

--- a/tests/common/trial/mod.rs
+++ b/tests/common/trial/mod.rs
@@ -88,6 +88,8 @@
     Started { softswitch: Node },
     /// It passed a health check.
     Ready { softswitch: Node },
+    /// It was sent SIGCONT after it had hung.
+    Continued { softswitch: Node },
     /// It was sent SIGTERM.
     Terminated { softswitch: Node },
     /// It was sent SIGKILL; `planned` if that was at the end of a shutdown.
